--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Commands of the project. `make help` lists them.
+
+GO ?= go
+BIN := $(CURDIR)/bin
+GOLANGCI_VERSION := v2.15.0
+GOLANGCI := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
+COMMANDS := sesame-entry sesame-agent sesame-standin sesamectl
+
+.PHONY: help build lint format unit test demo clean
+
+help: ## list the commands
+	@grep -E '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+
+build: ## build all programs into bin/
+	@mkdir -p $(BIN)
+	@for c in $(COMMANDS); do if [ -d cmd/$$c ]; then $(GO) build -o $(BIN)/$$c ./cmd/$$c || exit 1; fi; done
+
+$(GOLANGCI):
+	@mkdir -p $(BIN)/install
+	@GOBIN=$(BIN)/install $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	@mv $(BIN)/install/golangci-lint $(GOLANGCI)
+
+lint: $(GOLANGCI) ## check formatting and run the linter
+	@$(GOLANGCI) fmt --diff ./...
+	@$(GOLANGCI) run ./...
+
+format: $(GOLANGCI) ## format the code
+	@$(GOLANGCI) fmt ./...
+
+unit: ## run all tests with the race detector
+	@$(GO) test -race -count=1 ./...
+
+test: lint build unit ## formatter, linter and all tests
+
+clean: ## remove what was built
+	@rm -rf $(BIN)
