Carry net/rpc calls between processes with deadlines and heartbeats

Cause: net/rpc waits for ever for an answer, and a connection whose far end lost track of it stays open and silent. Calls now end with their context, connections end when nothing arrives for the idle timeout, and a fresh connection has to answer a heartbeat before a call is sent over it.

Ruled out: taking rpc.ErrShutdown as proof that a call was not sent. net/rpc hands it also to calls already on the wire when a connection closes from both ends, so every failure after the call was written counts as possibly sent.

--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,66 @@
+// Package peer carries net/rpc calls between the system's own processes.
+//
+// net/rpc alone has neither deadlines nor heartbeats. This package adds both:
+// a caller may rely on Call returning when its context ends, on a connection
+// that went silent being closed within Config.IdleTimeout and replaced by the
+// next call, and on an answer that comes too late never touching the caller's
+// memory. Whether a failed call reached the peer is told by NotSent.
+package peer
+
+import (
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Config holds the timeouts of connections between peers.
+type Config struct {
+	// DialTimeout bounds the connection set-up with the first heartbeat.
+	DialTimeout time.Duration
+	// HeartbeatInterval is the time between heartbeats on a connection.
+	HeartbeatInterval time.Duration
+	// IdleTimeout closes a connection on which nothing arrived for so long.
+	IdleTimeout time.Duration
+	// WriteTimeout closes a connection whose peer takes no bytes.
+	WriteTimeout time.Duration
+	// RedialDelay is how long calls fail at once after a failed dial.
+	RedialDelay time.Duration
+}
+
+// DefaultConfig returns the timeouts that the daemons use.
+func DefaultConfig() Config {
+	return Config{
+		DialTimeout:       time.Second,
+		HeartbeatInterval: time.Second,
+		IdleTimeout:       3 * time.Second,
+		WriteTimeout:      2 * time.Second,
+		RedialDelay:       100 * time.Millisecond,
+	}
+}
+
+// ErrNotSent marks a call that certainly did not reach the peer.
+var ErrNotSent = eris.New("peer: call was not sent")
+
+// ErrLost marks a call whose connection ended before the answer; the peer may
+// have carried it out.
+var ErrLost = eris.New("peer: connection lost before the answer")
+
+// NotSent reports whether the failed call certainly did not reach the peer.
+func NotSent(err error) bool {
+	return errors.Is(err, ErrNotSent)
+}
+
+// PingArgs is a heartbeat.
+type PingArgs struct{}
+
+// PingReply answers a heartbeat.
+type PingReply struct{}
+
+// pinger serves the heartbeats of connections.
+type pinger struct{}
+
+// Ping answers a heartbeat.
+func (pinger) Ping(_ PingArgs, _ *PingReply) error { return nil }
+
+const pingMethod = "Peer.Ping"
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,128 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+)
+
+type echo struct {
+	entered chan struct{}
+	release chan struct{}
+}
+
+type Text struct{ Value string }
+
+func (e *echo) Echo(args Text, reply *Text) error {
+	reply.Value = args.Value
+	return nil
+}
+
+func (e *echo) Wait(args Text, reply *Text) error {
+	e.entered <- struct{}{}
+	<-e.release
+	reply.Value = args.Value
+	return nil
+}
+
+func start(t *testing.T, cfg Config) (*echo, string, *Server) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &echo{entered: make(chan struct{}, 1), release: make(chan struct{})}
+	s := NewServer(cfg)
+	if err := s.Register("Echo", e); err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	t.Cleanup(func() { l.Close(); s.Close() })
+	return e, l.Addr().String(), s
+}
+
+func TestCallAnswers(t *testing.T) {
+	_, address, _ := start(t, DefaultConfig())
+	p := NewPool(DefaultConfig())
+	defer p.Close()
+	var reply Text
+	if err := p.Call(context.Background(), address, "Echo.Echo", Text{"a"}, &reply); err != nil {
+		t.Fatal(err)
+	}
+	if reply.Value != "a" {
+		t.Fatalf("reply %q, want a", reply.Value)
+	}
+}
+
+func TestLateAnswerLeavesReplyUntouched(t *testing.T) {
+	e, address, _ := start(t, DefaultConfig())
+	p := NewPool(DefaultConfig())
+	defer p.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	reply := Text{"before"}
+	done := make(chan error)
+	go func() { done <- p.Call(ctx, address, "Echo.Wait", Text{"late"}, &reply) }()
+	<-e.entered
+	cancel()
+	if err := <-done; !errors.Is(err, context.Canceled) {
+		t.Fatalf("error %v, want cancelled", err)
+	}
+	close(e.release)
+	var second Text
+	if err := p.Call(context.Background(), address, "Echo.Echo", Text{"b"}, &second); err != nil {
+		t.Fatal(err)
+	}
+	if reply.Value != "before" || second.Value != "b" {
+		t.Fatalf("replies %q and %q, want before and b", reply.Value, second.Value)
+	}
+}
+
+func TestSilentPeerIsNotSentTo(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	cfg := DefaultConfig()
+	cfg.DialTimeout = 20 * time.Millisecond
+	p := NewPool(cfg)
+	defer p.Close()
+	var reply Text
+	err = p.Call(context.Background(), l.Addr().String(), "Echo.Echo", Text{"a"}, &reply)
+	if !NotSent(err) {
+		t.Fatalf("error %v, want a call that was not sent", err)
+	}
+}
+
+func TestLostConnectionIsReplaced(t *testing.T) {
+	e, address, s := start(t, DefaultConfig())
+	p := NewPool(DefaultConfig())
+	defer p.Close()
+	done := make(chan error)
+	var reply Text
+	go func() { done <- p.Call(context.Background(), address, "Echo.Wait", Text{"x"}, &reply) }()
+	<-e.entered
+	s.dropAll()
+	if err := <-done; err == nil {
+		t.Fatal("a call on a lost connection succeeded")
+	}
+	close(e.release)
+	ok := false
+	for i := 0; i < 5000 && !ok; i++ {
+		ok = p.Call(context.Background(), address, "Echo.Echo", Text{"y"}, &reply) == nil
+		time.Sleep(time.Millisecond) // the redial delay passes meanwhile
+	}
+	if !ok || reply.Value != "y" {
+		t.Fatal("the connection was not replaced")
+	}
+}
+
+func (s *Server) dropAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// Server answers calls of peers.
+type Server struct {
+	cfg     Config
+	rpc     *rpc.Server
+	traffic Traffic
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+// NewServer returns a server that answers heartbeats and nothing else yet.
+func NewServer(cfg Config) *Server {
+	s := &Server{cfg: cfg, rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
+	if err := s.rpc.RegisterName("Peer", pinger{}); err != nil {
+		panic(err) // the receiver's methods are fixed above
+	}
+	return s
+}
+
+// Register adds the methods of a receiver under a service name. It fails when
+// the receiver has no suitable methods or the name is taken.
+func (s *Server) Register(name string, receiver any) error {
+	return eris.Wrapf(s.rpc.RegisterName(name, receiver), "peer: register %s", name)
+}
+
+// Traffic returns the counters of bytes on accepted connections.
+func (s *Server) Traffic() *Traffic { return &s.traffic }
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return eris.Wrap(err, "peer: accept")
+		}
+		if !s.add(c) {
+			c.Close()
+			continue
+		}
+		go s.serveConn(c)
+	}
+}
+
+func (s *Server) add(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) serveConn(c net.Conn) {
+	s.rpc.ServeConn(newConn(c, s.cfg, &s.traffic))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// Close ends all accepted connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.conns {
+		c.Close()
+	}
+}
