--- /dev/null
+++ b/telemetry/prometheus.go
@@ -0,0 +1,110 @@
+package telemetry
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"runtime"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// contentType is the media type of the Prometheus text format.
+const contentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// quantiles of each histogram that are exported.
+var quantiles = []float64{0.5, 0.9, 0.95, 0.99}
+
+// Handler serves the instruments in the Prometheus text format, sorted by
+// name: counters, gauges, and histograms as summaries in seconds.
+func (m *Metrics) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		m.sampleRuntime()
+		w.Header().Set("Content-Type", contentType)
+		_, _ = w.Write(m.export())
+	})
+}
+
+// sampleRuntime sets the gauges on the process itself.
+func (m *Metrics) sampleRuntime() {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	m.Gauge("sesame_process_goroutines").Update(int64(runtime.NumGoroutine()))
+	m.Gauge("sesame_process_heap_bytes").Update(int64(stats.HeapAlloc))
+}
+
+func (m *Metrics) export() []byte {
+	var keys []string
+	m.registry.Each(func(name string, _ any) { keys = append(keys, name) })
+	sort.Strings(keys)
+	var out bytes.Buffer
+	described := make(map[string]bool)
+	for _, k := range keys {
+		instrument := m.registry.Get(k)
+		name, labels := split(k)
+		if !described[name] {
+			described[name] = true
+			fmt.Fprintf(&out, "# TYPE %s %s\n", name, kind(instrument))
+		}
+		writeInstrument(&out, name, labels, instrument)
+	}
+	return out.Bytes()
+}
+
+// split separates a key into its name and its labels without braces.
+func split(key string) (name, labels string) {
+	name, rest, found := strings.Cut(key, "{")
+	if !found {
+		return key, ""
+	}
+	return name, strings.TrimSuffix(rest, "}")
+}
+
+func kind(instrument any) string {
+	switch instrument.(type) {
+	case gometrics.Counter:
+		return "counter"
+	case gometrics.Histogram:
+		return "summary"
+	default:
+		return "gauge"
+	}
+}
+
+func writeInstrument(out *bytes.Buffer, name, labels string, instrument any) {
+	switch v := instrument.(type) {
+	case gometrics.Counter:
+		writeSample(out, name, labels, strconv.FormatInt(v.Count(), 10))
+	case gometrics.Gauge:
+		writeSample(out, name, labels, strconv.FormatInt(v.Value(), 10))
+	case gometrics.Histogram:
+		writeSummary(out, name, labels, v.Snapshot())
+	}
+}
+
+func writeSummary(out *bytes.Buffer, name, labels string, h gometrics.Histogram) {
+	for i, value := range h.Percentiles(quantiles) {
+		label := `quantile="` + strconv.FormatFloat(quantiles[i], 'g', -1, 64) + `"`
+		if labels != "" {
+			label = labels + "," + label
+		}
+		writeSample(out, name, label, seconds(value))
+	}
+	writeSample(out, name+"_sum", labels, seconds(h.Mean()*float64(h.Count())))
+	writeSample(out, name+"_count", labels, strconv.FormatInt(h.Count(), 10))
+}
+
+func writeSample(out *bytes.Buffer, name, labels, value string) {
+	if labels != "" {
+		name += "{" + labels + "}"
+	}
+	fmt.Fprintf(out, "%s %s\n", name, value)
+}
+
+func seconds(nanoseconds float64) string {
+	return strconv.FormatFloat(nanoseconds/float64(time.Second), 'g', -1, 64)
+}
