--- /dev/null
+++ b/limit/limit.go
@@ -0,0 +1,111 @@
+// Package limit bounds the requests of each client account. It does no I/O;
+// time is passed in. A Limiter is safe for concurrent use.
+package limit
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Config configures a Limiter. Zero fields take the defaults.
+type Config struct {
+	// IdleAfter is how long an unused bucket is kept.
+	IdleAfter time.Duration
+	// MaxBuckets bounds the buckets; beyond it the one used least recently
+	// goes.
+	MaxBuckets int
+}
+
+// Defaults of Config.
+const (
+	DefaultIdleAfter  = time.Minute
+	DefaultMaxBuckets = 20_000
+)
+
+type key struct{ account, class string }
+
+type bucket struct {
+	limiter *rate.Limiter
+	used    time.Time
+}
+
+// Limiter holds a token bucket per account and class.
+type Limiter struct {
+	mu      sync.Mutex
+	cfg     Config
+	buckets map[key]*bucket
+	swept   time.Time
+}
+
+// New returns a limiter without buckets.
+func New(cfg Config) *Limiter {
+	if cfg.IdleAfter == 0 {
+		cfg.IdleAfter = DefaultIdleAfter
+	}
+	if cfg.MaxBuckets == 0 {
+		cfg.MaxBuckets = DefaultMaxBuckets
+	}
+	return &Limiter{cfg: cfg, buckets: make(map[key]*bucket)}
+}
+
+// Allow takes one request of the account in the class. The rate and the burst
+// are those over all entries, of which each gives its share. A rate of zero
+// is no limit. When it refuses it says when a token is there again.
+func (l *Limiter) Allow(now time.Time, account, class string, perSecond float64, burst, entries int) (ok bool, retryAfter time.Duration) {
+	if perSecond <= 0 {
+		return true, 0
+	}
+	share, size := split(perSecond, burst, entries)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(now, key{account, class}, share, size)
+	if b.limiter.AllowN(now, 1) {
+		return true, 0
+	}
+	missing := 1 - b.limiter.TokensAt(now)
+	return false, time.Duration(missing / share * float64(time.Second))
+}
+
+// split returns one entry's share of the rate and of the burst.
+func split(perSecond float64, burst, entries int) (share float64, size int) {
+	if burst <= 0 {
+		burst = int(math.Ceil(perSecond))
+	}
+	entries = max(1, entries)
+	size = max(1, (burst+entries-1)/entries)
+	return perSecond / float64(entries), size
+}
+
+// bucket returns the bucket of the key with the rate and size in force.
+func (l *Limiter) bucket(now time.Time, k key, share float64, size int) *bucket {
+	l.sweep(now)
+	b, found := l.buckets[k]
+	if !found {
+		b = &bucket{limiter: rate.NewLimiter(rate.Limit(share), size)}
+		l.buckets[k] = b
+	}
+	b.used = now
+	if b.limiter.Limit() != rate.Limit(share) {
+		b.limiter.SetLimitAt(now, rate.Limit(share))
+	}
+	if b.limiter.Burst() != size {
+		b.limiter.SetBurstAt(now, size)
+	}
+	return b
+}
+
+// sweep drops the buckets that were idle for long.
+func (l *Limiter) sweep(now time.Time) {
+	if now.Sub(l.swept) < l.cfg.IdleAfter/2 {
+		return
+	}
+	l.swept = now
+	for k, b := range l.buckets {
+		if now.Sub(b.used) > l.cfg.IdleAfter {
+			delete(l.buckets, k)
+		}
+	}
+}
