--- /dev/null
+++ b/agent/rpc.go
@@ -0,0 +1,96 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/outcome"
+)
+
+// Service is the agent's net/rpc receiver, registered as "Agent".
+type Service struct {
+	agent *Agent
+}
+
+// NewService returns the receiver for an agent.
+func NewService(a *Agent) *Service {
+	return &Service{agent: a}
+}
+
+// Submit offers a request. The reply comes at once: accepted, joined to an
+// earlier run of the same key, or refused.
+func (s *Service) Submit(args agentapi.SubmitArgs, reply *agentapi.SubmitReply) error {
+	a := s.agent
+	if a.deps.Heard != nil {
+		a.deps.Heard(args.ConfigVersion, args.Entry)
+	}
+	answers := make(chan agentapi.SubmitReply, 1)
+	if !a.commands.Push(submitCommand{args: &args, reply: answers}) {
+		*reply = a.overrun(&args)
+		return nil
+	}
+	*reply = <-answers
+	return nil
+}
+
+// overrun refuses a request that the scheduler has no room to look at. A
+// request with a key may be a repeat of one that ran, so its outcome is open.
+func (a *Agent) overrun(args *agentapi.SubmitArgs) agentapi.SubmitReply {
+	refusal := outcome.Refuse(outcome.ReasonRingFull, "the agent is overrun")
+	if args.Keyed {
+		refusal = outcome.Doubt(outcome.ReasonRingFull, "the agent is overrun")
+	}
+	return agentapi.SubmitReply{Refusal: refusal.After(time.Second), Status: a.Status()}
+}
+
+// Read returns a part of a run's answer, waiting for data up to args.Wait.
+func (s *Service) Read(args agentapi.ReadArgs, reply *agentapi.ReadReply) error {
+	a := s.agent
+	r := a.find(args)
+	reply.Status = a.Status()
+	if r == nil {
+		return nil
+	}
+	r.readers.Add(1)
+	ctx, cancel := context.WithTimeout(context.Background(), min(args.Wait, maxReadWait))
+	p := r.answer.read(ctx, args.Offset, min(args.MaxBytes, maxReadBytes))
+	cancel()
+	r.lastRead.Store(a.deps.Clock.Now().UnixNano())
+	r.readers.Add(-1)
+	if p.final {
+		r.delivered.Store(true)
+	}
+	*reply = agentapi.ReadReply{
+		Known: !p.lost, Begun: p.begun, Code: p.code, Header: p.header, Data: p.data,
+		Final: p.final, Refusal: p.refusal, Length: p.length, Status: a.Status(),
+	}
+	return nil
+}
+
+func (a *Agent) find(args agentapi.ReadArgs) *run {
+	if args.Incarnation != "" && args.Incarnation != a.cfg.Incarnation {
+		return nil
+	}
+	return a.schedule.find(args.ID, args.Account)
+}
+
+// Cancel gives up a run. A run that may not be repeated is left alone.
+func (s *Service) Cancel(args agentapi.CancelArgs, reply *agentapi.CancelReply) error {
+	a := s.agent
+	known := make(chan bool, 1)
+	if a.commands.Push(cancelCommand{args: &args, reply: known}) {
+		reply.Known = <-known
+	}
+	reply.Status = a.Status()
+	return nil
+}
+
+// Status answers a heartbeat of an entry.
+func (s *Service) Status(args agentapi.StatusArgs, reply *agentapi.StatusReply) error {
+	if s.agent.deps.Heard != nil {
+		s.agent.deps.Heard(args.ConfigVersion, args.Entry)
+	}
+	reply.Status = s.agent.Status()
+	return nil
+}
--- /dev/null
+++ b/agent/scheduler.go
@@ -0,0 +1,451 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sesameswitch/sesameswitch/admission"
+	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/idempotency"
+	"github.com/sesameswitch/sesameswitch/manifest"
+	"github.com/sesameswitch/sesameswitch/outcome"
+	"github.com/sesameswitch/sesameswitch/ring"
+	"github.com/sesameswitch/sesameswitch/statechart"
+	"github.com/sesameswitch/sesameswitch/timeline"
+)
+
+// scheduler owns the queue, the at-most-once table and the life of each run.
+// All its methods but find run on one goroutine.
+type scheduler struct {
+	cfg      Config
+	deps     Dependencies
+	commands *ring.Ring[command]
+	chart    *statechart.Chart
+	meters   *meters
+
+	state     agentapi.State
+	leavingAt time.Time
+	view      *manifest.View
+	queue     *admission.Queue
+	table     *idempotency.Table[*run]
+	running   map[string]*run
+	ended     []*run // repeatable runs that are over but may still be read
+	forgotten time.Time
+
+	runs   sync.Map // string -> *run, for readers
+	status atomic.Pointer[agentapi.Status]
+	idle   atomic.Bool
+}
+
+func newScheduler(cfg Config, deps Dependencies, commands *ring.Ring[command]) *scheduler {
+	s := &scheduler{
+		cfg:      cfg,
+		deps:     deps,
+		commands: commands,
+		chart:    statechart.MustLoad("request"),
+		meters:   newMeters(deps.Metrics),
+		state:    agentapi.StateStarting,
+		running:  map[string]*run{},
+	}
+	s.idle.Store(true)
+	s.publish(deps.Clock.Now())
+	return s
+}
+
+// run carries out commands until the context ends.
+func (s *scheduler) run(ctx context.Context) error {
+	for {
+		c, ok := s.commands.Pop(ctx)
+		if !ok {
+			return nil
+		}
+		now := s.deps.Clock.Now()
+		s.adopt(now)
+		c.apply(s, now)
+		s.dispatch(ctx, now)
+		s.publish(now)
+	}
+}
+
+// adopt takes up a configuration that came into force.
+func (s *scheduler) adopt(now time.Time) {
+	view := s.deps.Configuration.Current()
+	if view == nil || view == s.view {
+		return
+	}
+	s.view = view
+	limits := view.Manifest.Limits
+	cfg := admission.Config{
+		Policy:   s.cfg.Policy,
+		Capacity: limits.QueuePerAgent,
+		Slots:    s.cfg.Slots,
+		Classes:  classesOf(view),
+		Rand:     rand.New(rand.NewPCG(s.cfg.Seed, 1)),
+	}
+	if s.queue == nil {
+		s.queue = admission.New(cfg)
+		s.table = idempotency.NewTable[*run](idempotency.Config{
+			VM: s.cfg.VM.Name, Incarnation: string(s.cfg.Incarnation),
+			Capacity: limits.KeysPerAgent, Validity: limits.KeyValidity, FutureSkew: keyFutureSkew,
+		})
+		return
+	}
+	for _, r := range s.queue.Reconfigure(cfg) {
+		s.refuse(now, r.Value.(*run), outcome.Refuse(outcome.ReasonStaleConfig, "the class is no longer configured"))
+	}
+}
+
+func classesOf(view *manifest.View) []admission.Class {
+	classes := make([]admission.Class, len(view.Manifest.Classes))
+	for i, c := range view.Manifest.Classes {
+		classes[i] = admission.Class{Name: c.Name, Tier: c.Tier, Floor: c.Floor}
+	}
+	return classes
+}
+
+// submit takes, joins or refuses a request.
+func (s *scheduler) submit(now time.Time, args *agentapi.SubmitArgs) agentapi.SubmitReply {
+	refusal := s.precheck(args)
+	if refusal != nil {
+		return s.refused(args, refusal)
+	}
+	class, ok := s.view.Class(args.Class)
+	if !ok {
+		return s.refused(args, s.gate(args, outcome.ReasonStaleConfig, "the class is not configured here"))
+	}
+	keyed := class.Repeatability == manifest.AtMostOnce
+	if keyed != args.Keyed {
+		return s.refused(args, s.gate(args, outcome.ReasonStaleConfig, "the class changed its repeatability"))
+	}
+	if keyed {
+		return s.submitKeyed(now, args, class)
+	}
+	if _, ok := s.runs.Load(args.ID); ok {
+		return agentapi.SubmitReply{Accepted: true, Joined: true, Status: *s.status.Load()}
+	}
+	r := newRun(*args, class.Tier, false, now, s.chart)
+	return s.offer(now, r, class)
+}
+
+// precheck refuses what this incarnation cannot judge or does not serve.
+func (s *scheduler) precheck(args *agentapi.SubmitArgs) *outcome.Refusal {
+	if args.Incarnation != "" && args.Incarnation != s.cfg.Incarnation {
+		return s.gate(args, outcome.ReasonWrongIncarnation, "the agent has restarted")
+	}
+	if s.view == nil {
+		return s.gate(args, outcome.ReasonStarting, "the agent has no configuration yet")
+	}
+	status := s.status.Load()
+	if !status.Serves(args.Model, args.Service) {
+		return s.gate(args, outcome.ReasonNoBackendServer, "the backend server does not have the model or service")
+	}
+	return nil
+}
+
+// gate refuses a request before its key was looked at. Only a request without
+// a key is then known not to have run.
+func (s *scheduler) gate(args *agentapi.SubmitArgs, reason outcome.Reason, detail string) *outcome.Refusal {
+	if args.Keyed {
+		return outcome.Doubt(reason, detail)
+	}
+	return outcome.Refuse(reason, detail)
+}
+
+// submitKeyed runs a request at most once in the life of this incarnation.
+func (s *scheduler) submitKeyed(now time.Time, args *agentapi.SubmitArgs, class *manifest.Class) agentapi.SubmitReply {
+	if args.Refuse != outcome.ReasonNone {
+		return s.seal(now, args)
+	}
+	fresh := func() *run { return newRun(*args, class.Tier, true, now, s.chart) }
+	verdict, r, refusal := s.table.Claim(now, args.ID, args.Account, args.BodySum, fresh)
+	switch verdict {
+	case idempotency.New:
+		return s.offer(now, r, class)
+	case idempotency.Joined:
+		s.meters.joined.Inc(1)
+		return agentapi.SubmitReply{Accepted: true, Joined: true, Status: *s.status.Load()}
+	default:
+		return s.refused(args, refusal)
+	}
+}
+
+// seal refuses a key for good unless it was accepted before.
+func (s *scheduler) seal(now time.Time, args *agentapi.SubmitArgs) agentapi.SubmitReply {
+	refusal := outcome.Refuse(args.Refuse, "refused by the entry").After(time.Second)
+	verdict, _, refusal := s.table.Seal(now, args.ID, args.Account, refusal)
+	if verdict == idempotency.Joined {
+		return agentapi.SubmitReply{Accepted: true, Joined: true, Status: *s.status.Load()}
+	}
+	return s.refused(args, refusal)
+}
+
+// offer puts a new run into the queue.
+func (s *scheduler) offer(now time.Time, r *run, class *manifest.Class) agentapi.SubmitReply {
+	if s.state != agentapi.StateServing {
+		refusal := outcome.Refuse(outcome.ReasonLeaving, "the agent takes no new requests")
+		if s.state == agentapi.StateStarting {
+			refusal = outcome.Refuse(outcome.ReasonStarting, "the agent is starting")
+		}
+		s.refuse(now, r, refusal)
+		return s.refused(&r.args, refusal)
+	}
+	evicted, refusal := s.queue.Offer(now, s.queued(now, r, class))
+	for _, e := range evicted {
+		wait := s.status.Load().WaitByTier[e.Value.(*run).tier-1]
+		s.refuse(now, e.Value.(*run), outcome.Refuse(outcome.ReasonShed, "a request of a higher tier took the place").After(max(wait, time.Second)))
+	}
+	if refusal != nil {
+		s.refuse(now, r, refusal)
+		return s.refused(&r.args, refusal)
+	}
+	r.fire("queue")
+	s.runs.Store(r.args.ID, r)
+	s.deps.Timeline.Record(timeline.KindRunQueued, r.args.RequestID, r.args.Class)
+	return agentapi.SubmitReply{Accepted: true, Status: *s.status.Load()}
+}
+
+func (s *scheduler) queued(now time.Time, r *run, class *manifest.Class) *admission.Request {
+	weight := 1
+	if account, ok := s.view.Account(r.args.Account); ok && account.Weight > 0 {
+		weight = account.Weight
+	}
+	q := &admission.Request{
+		ID: r.args.ID, Class: class.Name, Account: r.args.Account, Weight: weight,
+		Arrived: now, Value: r,
+	}
+	if r.args.StartWithin > 0 {
+		q.StartBy = now.Add(r.args.StartWithin)
+	}
+	return q
+}
+
+// refuse ends a run that has not started and seals its key.
+func (s *scheduler) refuse(now time.Time, r *run, refusal *outcome.Refusal) {
+	r.refuse(now, refusal)
+	s.meters.refused(refusal.Reason)
+	s.deps.Timeline.Record(timeline.KindRunShed, r.args.RequestID, string(refusal.Reason))
+	if r.keyed {
+		s.table.Seal(now, r.args.ID, r.args.Account, refusal)
+		return
+	}
+	if _, ok := s.runs.Load(r.args.ID); ok {
+		s.ended = append(s.ended, r)
+	}
+}
+
+func (s *scheduler) refused(args *agentapi.SubmitArgs, refusal *outcome.Refusal) agentapi.SubmitReply {
+	s.deps.Timeline.Record(timeline.KindAttemptRefused, args.RequestID, string(refusal.Reason))
+	return agentapi.SubmitReply{Refusal: refusal, Status: *s.status.Load()}
+}
+
+// dispatch starts queued runs while slots are free.
+func (s *scheduler) dispatch(ctx context.Context, now time.Time) {
+	if s.queue == nil {
+		return
+	}
+	s.expire(now)
+	for len(s.running) < s.cfg.Slots {
+		next, via := s.queue.Next(now)
+		if next == nil {
+			return
+		}
+		s.start(ctx, now, next.Value.(*run), string(via))
+	}
+}
+
+func (s *scheduler) expire(now time.Time) {
+	for _, late := range s.queue.Expire(now) {
+		r := late.Value.(*run)
+		wait := s.status.Load().WaitByTier[r.tier-1]
+		s.refuse(now, r, outcome.Refuse(outcome.ReasonDeadline, "it can no longer start in time").After(max(wait, time.Second)))
+	}
+}
+
+func (s *scheduler) start(ctx context.Context, now time.Time, r *run, via string) {
+	r.fire("start")
+	r.started = now
+	runCtx, cancel := context.WithCancel(ctx)
+	r.cancel = cancel
+	s.running[r.args.ID] = r
+	s.meters.started(r.args.Class, now.Sub(r.arrived))
+	s.deps.Timeline.Record(timeline.KindRunStarted, r.args.RequestID, "via "+via)
+	go func() {
+		refusal := execute(runCtx, s.deps.BackendServer, r)
+		cancel()
+		mustPush(s.commands, finishedCommand{run: r, refusal: refusal})
+	}()
+}
+
+// finished frees the slot of a run that is over.
+func (s *scheduler) finished(now time.Time, r *run, refusal *outcome.Refusal) {
+	delete(s.running, r.args.ID)
+	r.ended = now
+	s.queue.Finished(now, r.args.Class, now.Sub(r.started))
+	switch {
+	case refusal == nil:
+		r.fire("finish")
+	case refusal.Reason == outcome.ReasonCancelled:
+		r.fire("cancel")
+	default:
+		r.fire("fail")
+	}
+	r.answer.finish(refusal)
+	s.meters.finished(r.args.Class, now.Sub(r.started), refusal)
+	s.deps.Timeline.Record(timeline.KindRunFinished, r.args.RequestID, r.life.State())
+	if !r.keyed {
+		s.ended = append(s.ended, r)
+	}
+}
+
+// cancel gives up a run. It reports whether the run is known.
+func (s *scheduler) cancel(now time.Time, args *agentapi.CancelArgs) bool {
+	r := s.find(args.ID, args.Account)
+	if r == nil {
+		return false
+	}
+	s.giveUp(now, r)
+	return true
+}
+
+func (s *scheduler) giveUp(now time.Time, r *run) {
+	if r.keyed || r.life.Final() {
+		return
+	}
+	if s.queue.Remove(r.args.ID) != nil {
+		s.refuse(now, r, outcome.Refuse(outcome.ReasonCancelled, "the caller gave up"))
+		return
+	}
+	s.deps.Timeline.Record(timeline.KindRunCancelled, r.args.RequestID, "")
+	r.cancel()
+}
+
+// find returns the run of an account, or nil. It is safe for concurrent use.
+func (s *scheduler) find(id, account string) *run {
+	value, ok := s.runs.Load(id)
+	if !ok {
+		return nil
+	}
+	r := value.(*run)
+	if r.args.Account != account {
+		return nil
+	}
+	return r
+}
+
+// enter changes the agent's state.
+func (s *scheduler) enter(now time.Time, state agentapi.State) {
+	if s.state == agentapi.StateLeaving {
+		return
+	}
+	s.state = state
+	s.deps.Timeline.Record(timeline.KindProcessState, "", string(state))
+	s.deps.Log.WithField("state", state).Info("agent changed state")
+	if state != agentapi.StateLeaving {
+		return
+	}
+	s.leavingAt = now
+	if s.queue == nil {
+		return
+	}
+	s.handBack(now, func(r *run) bool { return !r.keyed })
+}
+
+// handBack refuses the queued runs that the filter names.
+func (s *scheduler) handBack(now time.Time, filter func(*run) bool) {
+	s.runs.Range(func(_, value any) bool {
+		r := value.(*run)
+		if r.life.State() == "queued" && filter(r) {
+			s.queue.Remove(r.args.ID)
+			s.refuse(now, r, outcome.Refuse(outcome.ReasonLeaving, "the agent is leaving"))
+		}
+		return true
+	})
+}
+
+// tick looks after leases, leaving and memory.
+func (s *scheduler) tick(now time.Time) {
+	if s.state == agentapi.StateLeaving && s.queue != nil && now.Sub(s.leavingAt) > leaveGrace {
+		s.handBack(now, func(*run) bool { return true })
+	}
+	if now.Sub(s.forgotten) < time.Second {
+		return
+	}
+	s.forgotten = now
+	s.endLeases(now)
+	s.forget(now)
+}
+
+// endLeases gives up repeatable runs that no entry reads any more.
+func (s *scheduler) endLeases(now time.Time) {
+	s.runs.Range(func(_, value any) bool {
+		r := value.(*run)
+		if !r.life.Final() && r.unread(now) > readLease {
+			s.giveUp(now, r)
+		}
+		return true
+	})
+}
+
+// forget drops answers that nobody will read again.
+func (s *scheduler) forget(now time.Time) {
+	kept := s.ended[:0]
+	for _, r := range s.ended {
+		if r.over(now) {
+			s.runs.CompareAndDelete(r.args.ID, r)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(s.ended[len(kept):])
+	s.ended = kept
+	if s.table == nil || s.table.Forget(now) == 0 {
+		return
+	}
+	validity := s.view.Manifest.Limits.KeyValidity
+	s.runs.Range(func(id, value any) bool {
+		r := value.(*run)
+		if r.keyed && r.life.Final() && now.Sub(r.arrived) > validity+keyFutureSkew {
+			s.runs.Delete(id)
+		}
+		return true
+	})
+}
+
+// publish makes the state visible to readers of the status.
+func (s *scheduler) publish(now time.Time) {
+	status := &agentapi.Status{
+		VM: s.cfg.VM.Name, DataCentre: s.cfg.VM.DataCentre, Incarnation: s.cfg.Incarnation,
+		State: s.state, Models: s.cfg.Models, Services: s.cfg.Services,
+		Slots: s.cfg.Slots, Running: len(s.running),
+	}
+	if s.view != nil {
+		status.ConfigVersion = s.view.Version()
+		status.Queued = s.queue.Len()
+		status.WaitByTier = s.queue.WaitByTier(now, len(s.running))
+	}
+	s.status.Store(status)
+	s.idle.Store(status.Running == 0 && status.Queued == 0 && s.delivered())
+	s.meters.load(status)
+}
+
+// delivered reports whether no ended answer still waits for its reader.
+func (s *scheduler) delivered() bool {
+	for _, r := range s.ended {
+		if !r.delivered.Load() {
+			return false
+		}
+	}
+	return true
+}
+
+// newIncarnation names one life of an agent process.
+func newIncarnation(now time.Time, random uint64) agentapi.Incarnation {
+	return agentapi.Incarnation(strconv.FormatInt(now.UnixMilli(), 36) + "-" + strconv.FormatUint(random, 36))
+}
+
+var errStopped = errors.New("agent: stopped")
--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -92,6 +92,9 @@
 	// BodySum is the SHA-256 of method, path and body; a repeat of a key must
 	// carry the same.
 	BodySum [32]byte
+	// Keyed says that the entry knows the request to run at most once and ID
+	// to be its idempotency key.
+	Keyed bool
 	// Stream says that the answer is a server-sent event stream.
 	Stream bool
 	// ResumeAfter is the number of tokens that the caller already has.
