Add the entry: caller interface, attempts and delivery

Cause: callers need one address that authenticates, classifies and answers with an outcome. Repeatable requests are tried on one agent after another within a retry budget; requests with a key go only to the agent that the key names. Streams are passed on in whole events, so that a further attempt can go on after the last one.

Ruled out: refusing a request with a key at the entry's own limit as not_run. The key may have been used through another entry, so the agent seals it.

Not measured yet: it is not wired into a process.

--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -202,7 +202,7 @@
 	}
 	r.fire("queue")
 	s.runs.Store(r.args.ID, r)
-	s.deps.Timeline.Record(timeline.KindRunQueued, r.args.RequestID, r.args.Class)
+	s.deps.Timeline.Record(timeline.RunQueued, r.args.RequestID, r.args.Class)
 	return agentapi.SubmitReply{Accepted: true, Status: *s.status.Load()}
 }
 
@@ -225,7 +225,7 @@
 func (s *scheduler) refuse(now time.Time, r *run, refusal *outcome.Refusal) {
 	r.refuse(now, refusal)
 	s.meters.refused(refusal.Reason)
-	s.deps.Timeline.Record(timeline.KindRunShed, r.args.RequestID, string(refusal.Reason))
+	s.deps.Timeline.Record(timeline.RunShed, r.args.RequestID, string(refusal.Reason))
 	if r.keyed {
 		s.table.Seal(now, r.args.ID, r.args.Account, refusal)
 		return
@@ -236,7 +236,7 @@
 }
 
 func (s *scheduler) refused(args *agentapi.SubmitArgs, refusal *outcome.Refusal) agentapi.SubmitReply {
-	s.deps.Timeline.Record(timeline.KindAttemptRefused, args.RequestID, string(refusal.Reason))
+	s.deps.Timeline.Record(timeline.AttemptRefused, args.RequestID, string(refusal.Reason))
 	return agentapi.SubmitReply{Refusal: refusal, Status: *s.status.Load()}
 }
 
@@ -270,7 +270,7 @@
 	r.cancel = cancel
 	s.running[r.args.ID] = r
 	s.meters.started(r.args.Class, now.Sub(r.arrived))
-	s.deps.Timeline.Record(timeline.KindRunStarted, r.args.RequestID, "via "+via)
+	s.deps.Timeline.Record(timeline.RunStarted, r.args.RequestID, "via "+via)
 	go func() {
 		refusal := execute(runCtx, s.deps.BackendServer, r)
 		cancel()
@@ -293,7 +293,7 @@
 	}
 	r.answer.finish(refusal)
 	s.meters.finished(r.args.Class, now.Sub(r.started), refusal)
-	s.deps.Timeline.Record(timeline.KindRunFinished, r.args.RequestID, r.life.State())
+	s.deps.Timeline.Record(timeline.RunFinished, r.args.RequestID, r.life.State())
 	if !r.keyed {
 		s.ended = append(s.ended, r)
 	}
@@ -317,7 +317,7 @@
 		s.refuse(now, r, outcome.Refuse(outcome.ReasonCancelled, "the caller gave up"))
 		return
 	}
-	s.deps.Timeline.Record(timeline.KindRunCancelled, r.args.RequestID, "")
+	s.deps.Timeline.Record(timeline.RunCancelled, r.args.RequestID, "")
 	r.cancel()
 }
 
@@ -340,7 +340,7 @@
 		return
 	}
 	s.state = state
-	s.deps.Timeline.Record(timeline.KindProcessState, "", string(state))
+	s.deps.Timeline.Record(timeline.ProcessState, "", string(state))
 	s.deps.Log.WithField("state", state).Info("agent changed state")
 	if state != agentapi.StateLeaving {
 		return
--- /dev/null
+++ b/entry/agents.go
@@ -0,0 +1,296 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/retry"
+	"github.com/sesameswitch/sesameswitch/routing"
+	"github.com/sesameswitch/sesameswitch/statechart"
+	"github.com/sesameswitch/sesameswitch/timeline"
+)
+
+// maxHeartbeatsAtOnce bounds the heartbeats under way.
+const maxHeartbeatsAtOnce = 16
+
+// agentTable is what the entry believes of the agents. It is safe for
+// concurrent use.
+type agentTable struct {
+	cfg   Config
+	deps  Dependencies
+	chart *statechart.Chart
+
+	mu      sync.Mutex
+	router  *routing.Router
+	agents  map[string]*agentView
+	list    []*agentView
+	scratch []routing.Candidate
+	views   []*agentView
+}
+
+// agentView is what the entry believes of one agent.
+type agentView struct {
+	vm          platform.VM
+	status      agentapi.Status
+	heardAt     time.Time
+	outstanding int
+	breaker     *retry.Breaker
+	life        *statechart.Machine
+}
+
+// target is the agent chosen for an attempt.
+type target struct {
+	vm          platform.VM
+	incarnation agentapi.Incarnation
+}
+
+func newAgentTable(cfg Config, deps Dependencies, router *routing.Router) *agentTable {
+	return &agentTable{
+		cfg:    cfg,
+		deps:   deps,
+		chart:  statechart.MustLoad("backend_server"),
+		router: router,
+		agents: map[string]*agentView{},
+	}
+}
+
+// follow takes up changes of the membership until the context ends.
+func (t *agentTable) follow(ctx context.Context) error {
+	for {
+		changed := t.deps.Members.Changed()
+		t.update(t.deps.Members.Agents())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// update keeps the deterministic subset of the agents.
+func (t *agentTable) update(vms []platform.VM) {
+	peers := make([]routing.Peer, len(vms))
+	for i, vm := range vms {
+		peers[i] = routing.Peer{VM: vm.Name, DataCentre: vm.DataCentre}
+	}
+	chosen := routing.Subset(t.cfg.VM.Name, t.cfg.VM.DataCentre, peers, t.cfg.SubsetSize)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	agents := make(map[string]*agentView, len(chosen))
+	list := make([]*agentView, 0, len(chosen))
+	for _, i := range chosen {
+		view := t.keep(vms[i])
+		agents[vms[i].Name] = view
+		list = append(list, view)
+	}
+	t.agents, t.list = agents, list
+}
+
+func (t *agentTable) keep(vm platform.VM) *agentView {
+	view, ok := t.agents[vm.Name]
+	if !ok || view.vm.Address != vm.Address {
+		view = &agentView{vm: vm, life: t.chart.New(), breaker: retry.NewBreaker(retry.BreakerConfig{})}
+	}
+	view.vm = vm
+	if vm.State == platform.VMLeaving && view.life.State() != "leaving" {
+		t.fire(view, "leave")
+	}
+	return view
+}
+
+// fire moves an agent along its chart and notes a change.
+func (t *agentTable) fire(view *agentView, event string) {
+	before := view.life.State()
+	after, err := view.life.Fire(event)
+	if err != nil || after == before {
+		return
+	}
+	t.deps.Timeline.Record(timeline.VMState, "", view.vm.Name+" "+after)
+	t.deps.Log.WithField("vm", view.vm.Name).WithField("state", after).Info("agent changed state")
+}
+
+// heard takes up an agent's own word.
+func (t *agentTable) heard(vm platform.VM, status *agentapi.Status) {
+	if status.Incarnation == "" {
+		return
+	}
+	now := t.deps.Clock.Now()
+	t.mu.Lock()
+	if view, ok := t.agents[vm.Name]; ok && view.vm.Address == vm.Address {
+		t.learn(now, view, status)
+	}
+	t.mu.Unlock()
+	if t.deps.Heard != nil {
+		t.deps.Heard(status.ConfigVersion, vm.Address)
+	}
+}
+
+func (t *agentTable) learn(now time.Time, view *agentView, status *agentapi.Status) {
+	if view.status.Incarnation != status.Incarnation {
+		view.life = t.chart.New()
+		view.breaker = retry.NewBreaker(retry.BreakerConfig{})
+	}
+	view.status = *status
+	view.heardAt = now
+	switch status.State {
+	case agentapi.StateServing:
+		t.fire(view, "heartbeat")
+	case agentapi.StateLeaving:
+		t.fire(view, "leave")
+	}
+}
+
+// unheard notes that an agent did not answer a heartbeat.
+func (t *agentTable) unheard(vm platform.VM) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if view, ok := t.agents[vm.Name]; ok {
+		t.fire(view, "silence")
+	}
+}
+
+// heardAny reports whether any agent of the subset serves.
+func (t *agentTable) heardAny() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, view := range t.list {
+		if view.life.State() == "serving" {
+			return true
+		}
+	}
+	return false
+}
+
+// pick chooses an agent for an attempt and counts the attempt as outstanding.
+func (t *agentTable) pick(req *routing.Request) (target, bool) {
+	now := t.deps.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.scratch, t.views = t.scratch[:0], t.views[:0]
+	for _, view := range t.list {
+		if view.life.State() != "serving" || !view.status.Serves(req.Model, req.Service) {
+			continue
+		}
+		t.scratch = append(t.scratch, view.candidate(now))
+		t.views = append(t.views, view)
+	}
+	if len(t.scratch) == 0 {
+		return target{}, false
+	}
+	index, ok := t.router.Pick(now, req, t.scratch)
+	if !ok {
+		return target{}, false
+	}
+	view := t.views[index]
+	view.breaker.Allow(now)
+	view.outstanding++
+	return target{vm: view.vm, incarnation: view.status.Incarnation}, true
+}
+
+func (v *agentView) candidate(now time.Time) routing.Candidate {
+	return routing.Candidate{
+		VM: v.vm.Name, DataCentre: v.vm.DataCentre, State: v.status.State,
+		Slots: v.status.Slots, Running: v.status.Running, Queued: v.status.Queued,
+		WaitByTier: v.status.WaitByTier, ReportedAt: v.heardAt,
+		Outstanding: v.outstanding, Allowed: v.breaker.Ready(now),
+	}
+}
+
+// done takes back the count of an attempt and learns from how it went.
+func (t *agentTable) done(chosen target, o routing.Observation) {
+	now := t.deps.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.router.Observe(now, chosen.vm.Name, o)
+	view, ok := t.agents[chosen.vm.Name]
+	if !ok {
+		return
+	}
+	view.outstanding = max(0, view.outstanding-1)
+	if view.status.Incarnation != chosen.incarnation {
+		return
+	}
+	before := view.breaker.State()
+	switch o.Kind {
+	case routing.KindCompleted:
+		view.breaker.Success(now)
+	case routing.KindFailed:
+		view.breaker.Failure(now)
+	}
+	if after := view.breaker.State(); after != before {
+		t.deps.Timeline.Record(timeline.BreakerState, "", chosen.vm.Name+" "+string(after))
+	}
+}
+
+// release takes back the count of a choice that led to no attempt.
+func (t *agentTable) release(chosen target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if view, ok := t.agents[chosen.vm.Name]; ok {
+		view.outstanding = max(0, view.outstanding-1)
+	}
+}
+
+// observe learns from something seen during an attempt.
+func (t *agentTable) observe(chosen target, o routing.Observation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.router.Observe(t.deps.Clock.Now(), chosen.vm.Name, o)
+}
+
+// heartbeats asks the agents that were not heard for a while.
+func (t *agentTable) heartbeats(ctx context.Context) error {
+	ticker := time.NewTicker(heartbeatInterval / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			t.beat(ctx)
+		}
+	}
+}
+
+func (t *agentTable) beat(ctx context.Context) {
+	var group errgroup.Group
+	group.SetLimit(maxHeartbeatsAtOnce)
+	for _, vm := range t.quiet() {
+		group.Go(func() error {
+			t.ask(ctx, vm)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// quiet lists the agents that were not heard within the interval.
+func (t *agentTable) quiet() []platform.VM {
+	now := t.deps.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var vms []platform.VM
+	for _, view := range t.list {
+		if now.Sub(view.heardAt) >= heartbeatInterval {
+			vms = append(vms, view.vm)
+		}
+	}
+	return vms
+}
+
+func (t *agentTable) ask(ctx context.Context, vm platform.VM) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	args := agentapi.StatusArgs{Entry: t.cfg.VM.Name, ConfigVersion: t.deps.Configuration.Version()}
+	var reply agentapi.StatusReply
+	if err := t.deps.Peers.Call(ctx, vm.Address, agentapi.MethodStatus, args, &reply); err != nil {
+		t.unheard(vm)
+		return
+	}
+	t.heard(vm, &reply.Status)
+}
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/outcome"
+	"github.com/sesameswitch/sesameswitch/routing"
+	"github.com/sesameswitch/sesameswitch/timeline"
+)
+
+// sink takes an answer for the caller.
+type sink interface {
+	// head sets status and headers before the first write. A further call
+	// starts an answer over that is given in one piece.
+	head(code int, header map[string]string)
+	// write passes bytes on. An error means that the caller is gone.
+	write(data []byte) error
+}
+
+// progress is what the caller has of the answer, over all attempts.
+type progress struct {
+	begun  bool
+	events int
+}
+
+// serveRepeatable makes attempts until one completes, the request is refused
+// or the retry budget is spent.
+func (e *Entry) serveRepeatable(ctx context.Context, req *request, out sink) *outcome.Refusal {
+	var got progress
+	var last *outcome.Refusal
+	mayHaveRun := false
+	refusals, attempts := 0, 0
+	req.route.Excluded = map[string]bool{}
+	for refusals < req.refusals() && attempts < maxAttempts {
+		chosen, ok := e.agents.pick(&req.route)
+		if !ok {
+			break
+		}
+		refusal := e.attempt(ctx, req, chosen, &got, out)
+		if refusal == nil {
+			return nil
+		}
+		last = worse(last, refusal)
+		req.route.Excluded[chosen.vm.Name] = true
+		if refusal.Outcome == outcome.NotRun {
+			refusals++
+			continue
+		}
+		mayHaveRun = true
+		attempts++
+		if ctx.Err() != nil || !e.budget.TryRetry(e.deps.Clock.Now()) {
+			break
+		}
+		e.meters.retries.Inc(1)
+	}
+	return conclude(last, mayHaveRun)
+}
+
+// worse keeps the refusal that says more: one that may have run goes before
+// one that did not, and of two the shorter time to come back.
+func worse(last, next *outcome.Refusal) *outcome.Refusal {
+	if last == nil {
+		return next
+	}
+	if last.Outcome != next.Outcome {
+		if next.Outcome == outcome.Unknown {
+			return next
+		}
+		return last
+	}
+	if last.RetryAfter > 0 && (next.RetryAfter == 0 || last.RetryAfter < next.RetryAfter) {
+		return last
+	}
+	return next
+}
+
+// conclude makes the final refusal of a repeatable request.
+func conclude(last *outcome.Refusal, mayHaveRun bool) *outcome.Refusal {
+	if last == nil {
+		return outcome.Refuse(outcome.ReasonNoBackendServer, "no backend server for it is reachable").After(time.Second)
+	}
+	if mayHaveRun && last.Outcome == outcome.NotRun {
+		return outcome.Doubt(last.Reason, last.Detail).After(last.RetryAfter)
+	}
+	return last
+}
+
+// attempt sends a request to one agent and passes its answer on.
+func (e *Entry) attempt(ctx context.Context, req *request, chosen target, got *progress, out sink) *outcome.Refusal {
+	sent := e.deps.Clock.Now()
+	args := req.args
+	args.ID = newID()
+	args.ResumeAfter = got.events
+	if !args.Stream {
+		got.begun = false
+	}
+	args.Incarnation = chosen.incarnation
+	args.StartWithin = req.startWithin(sent)
+	e.deps.Timeline.Record(timeline.AttemptSent, req.id, chosen.vm.Name)
+	refusal := e.submit(ctx, chosen, &args)
+	d := &delivery{entry: e, req: req, chosen: chosen, id: args.ID, got: got, out: out, sent: sent}
+	if refusal == nil {
+		refusal = d.run(ctx)
+	}
+	if refusal != nil && refusal.Outcome == outcome.Unknown {
+		go e.cancel(chosen, &args, refusal.Reason)
+	}
+	e.agents.done(chosen, d.observation(refusal))
+	return refusal
+}
+
+func (e *Entry) since(t time.Time) time.Duration {
+	return e.deps.Clock.Now().Sub(t)
+}
+
+func kindOf(refusal *outcome.Refusal) routing.Kind {
+	switch {
+	case refusal.Reason == outcome.ReasonCancelled:
+		return routing.KindCancelled
+	case refusal.Outcome == outcome.NotRun:
+		return routing.KindRefused
+	default:
+		return routing.KindFailed
+	}
+}
+
+// submit offers the request to the agent.
+func (e *Entry) submit(ctx context.Context, chosen target, args *agentapi.SubmitArgs) *outcome.Refusal {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	var reply agentapi.SubmitReply
+	if err := e.deps.Peers.Call(ctx, chosen.vm.Address, agentapi.MethodSubmit, *args, &reply); err != nil {
+		return callFailure(err)
+	}
+	e.agents.heard(chosen.vm, &reply.Status)
+	if reply.Accepted {
+		e.deps.Timeline.Record(timeline.AttemptAccepted, args.RequestID, chosen.vm.Name)
+		return nil
+	}
+	return reply.Refusal
+}
+
+// cancel tells an agent that nobody waits for the run.
+func (e *Entry) cancel(chosen target, args *agentapi.SubmitArgs, reason outcome.Reason) {
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	message := agentapi.CancelArgs{ID: args.ID, Account: args.Account, Reason: reason}
+	var reply agentapi.CancelReply
+	if err := e.deps.Peers.Call(ctx, chosen.vm.Address, agentapi.MethodCancel, message, &reply); err != nil {
+		e.meters.cancelsLost.Inc(1)
+	}
+}
--- /dev/null
+++ b/entry/delivery.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/outcome"
+	"github.com/sesameswitch/sesameswitch/peer"
+	"github.com/sesameswitch/sesameswitch/routing"
+)
+
+var eventEnd = []byte("\n\n")
+
+// delivery reads one run's answer from an agent and passes it on.
+type delivery struct {
+	entry  *Entry
+	req    *request
+	chosen target
+	id     string
+	got    *progress
+	out    sink
+	sent   time.Time
+
+	offset     int64
+	tail       []byte // the start of an event whose end is still to come
+	firstBytes time.Duration
+}
+
+// run reads until the answer is whole, the agent reports a failure, or the
+// agent is out of reach for longer than the reconnect window.
+func (d *delivery) run(ctx context.Context) *outcome.Refusal {
+	lastHeard := d.entry.deps.Clock.Now()
+	quietSince := lastHeard
+	for {
+		reply, err := d.read(ctx, quietSince)
+		now := d.entry.deps.Clock.Now()
+		if ctx.Err() != nil {
+			return outcome.Doubt(outcome.ReasonCancelled, "the caller gave up")
+		}
+		if err != nil {
+			if now.Sub(lastHeard) > reconnectWindow {
+				return outcome.Doubt(outcome.ReasonConnection, "the agent that has the answer cannot be reached")
+			}
+			pause(ctx, reconnectPause)
+			continue
+		}
+		lastHeard = now
+		if !reply.Known {
+			return outcome.Doubt(outcome.ReasonConnection, "the agent lost the answer")
+		}
+		if len(reply.Data) > 0 {
+			quietSince = now
+		}
+		if over, refusal := d.take(reply); over {
+			return refusal
+		}
+		if now.Sub(quietSince) > d.patience() {
+			return outcome.Doubt(outcome.ReasonTimeout, "the backend server does not answer")
+		}
+	}
+}
+
+// patience is how long the answer may stand still.
+func (d *delivery) patience() time.Duration {
+	if d.req.keyed() {
+		return keyedPatience
+	}
+	if d.offset > 0 {
+		return stallTimeout
+	}
+	return d.req.patience()
+}
+
+// read asks for the next part, waiting no longer than the patience allows.
+func (d *delivery) read(ctx context.Context, quietSince time.Time) (*agentapi.ReadReply, error) {
+	left := d.patience() - d.entry.since(quietSince)
+	wait := min(readWait, max(left, time.Millisecond))
+	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
+	defer cancel()
+	args := agentapi.ReadArgs{
+		ID: d.id, Account: d.req.account.Name, Incarnation: d.chosen.incarnation,
+		Offset: d.offset, MaxBytes: readBytes, Wait: wait,
+	}
+	var reply agentapi.ReadReply
+	err := d.entry.deps.Peers.Call(ctx, d.chosen.vm.Address, agentapi.MethodRead, args, &reply)
+	if err != nil {
+		return nil, err
+	}
+	d.entry.agents.heard(d.chosen.vm, &reply.Status)
+	return &reply, nil
+}
+
+// take passes a part on and reports whether the answer is over.
+func (d *delivery) take(reply *agentapi.ReadReply) (over bool, refusal *outcome.Refusal) {
+	if reply.Final && reply.Refusal != nil && len(reply.Data) == 0 {
+		return true, reply.Refusal
+	}
+	if reply.Begun && !d.got.begun && (len(reply.Data) > 0 || reply.Final) {
+		d.got.begun = true
+		d.out.head(reply.Code, reply.Header)
+	}
+	if d.firstBytes == 0 && len(reply.Data) > 0 {
+		d.firstBytes = d.entry.since(d.sent)
+		d.entry.agents.observe(d.chosen, routing.Observation{Kind: routing.KindFirstToken, FirstToken: d.firstBytes})
+	}
+	if err := d.pass(reply.Data); err != nil {
+		return true, outcome.Doubt(outcome.ReasonCancelled, "the caller gave up")
+	}
+	if !reply.Final {
+		return false, nil
+	}
+	if reply.Refusal == nil && d.offset != reply.Length {
+		return true, outcome.Doubt(outcome.ReasonConnection, "the answer is not whole")
+	}
+	return true, reply.Refusal
+}
+
+// pass hands bytes to the caller. Of an event stream it passes whole events
+// only, so that another attempt can go on after the last of them.
+func (d *delivery) pass(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	d.offset += int64(len(data))
+	if !d.req.args.Stream {
+		return d.out.write(data)
+	}
+	if len(d.tail) > 0 {
+		data = append(d.tail, data...)
+		d.tail = nil
+	}
+	end := bytes.LastIndex(data, eventEnd) + len(eventEnd)
+	if end < len(eventEnd) {
+		end = 0
+	}
+	if end < len(data) {
+		d.tail = bytes.Clone(data[end:])
+	}
+	if end == 0 {
+		return nil
+	}
+	d.got.events += bytes.Count(data[:end], eventEnd)
+	return d.out.write(data[:end])
+}
+
+// observation says how the attempt went.
+func (d *delivery) observation(refusal *outcome.Refusal) routing.Observation {
+	o := routing.Observation{Kind: routing.KindCompleted, FirstToken: d.firstBytes, Whole: d.entry.since(d.sent)}
+	if refusal != nil {
+		o.Kind = kindOf(refusal)
+		o.Wait = refusal.RetryAfter
+	}
+	return o
+}
+
+// callFailure is the refusal of a request whose call to the agent failed.
+func callFailure(err error) *outcome.Refusal {
+	if peer.NotSent(err) {
+		return outcome.Refuse(outcome.ReasonConnection, "the agent cannot be reached").After(time.Second)
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return outcome.Doubt(outcome.ReasonTimeout, "the agent did not answer in time")
+	}
+	if errors.Is(err, context.Canceled) {
+		return outcome.Doubt(outcome.ReasonCancelled, "the caller gave up")
+	}
+	return outcome.Doubt(outcome.ReasonConnection, "the connection to the agent was lost")
+}
+
+// pause waits for a duration or the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,142 @@
+// Package entry is the process that callers talk to. It authenticates and
+// classifies requests, chooses an agent, makes one attempt after another and
+// gives the answer.
+//
+// An entry keeps soft state only, and its view of agents is a hint: whatever
+// must hold is checked again by the agent. A caller may rely on an answer
+// with outcome not_run standing for a request that did not run, and on a
+// truncated answer never looking like a whole one.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesameswitch/sesameswitch/clock"
+	"github.com/sesameswitch/sesameswitch/configsync"
+	"github.com/sesameswitch/sesameswitch/limit"
+	"github.com/sesameswitch/sesameswitch/manifest"
+	"github.com/sesameswitch/sesameswitch/membership"
+	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/retry"
+	"github.com/sesameswitch/sesameswitch/routing"
+	"github.com/sesameswitch/sesameswitch/telemetry"
+	"github.com/sesameswitch/sesameswitch/timeline"
+)
+
+// Times and bounds of an entry.
+const (
+	// heartbeatInterval is how long an agent may be unheard before it is asked.
+	heartbeatInterval = time.Second
+	// heartbeatTimeout bounds one heartbeat.
+	heartbeatTimeout = time.Second
+	// submitTimeout bounds one submission.
+	submitTimeout = 2 * time.Second
+	// readWait is how long one read waits at the agent for data.
+	readWait = 10 * time.Second
+	// readSlack is added to readWait for the way there and back.
+	readSlack = 2 * time.Second
+	// readBytes bounds the data of one read.
+	readBytes = 64 << 10
+	// reconnectWindow is how long an entry tries to reach an agent again that
+	// holds an answer.
+	reconnectWindow = 5 * time.Second
+	// reconnectPause is the time between two such tries.
+	reconnectPause = 100 * time.Millisecond
+	// stallTimeout gives up an attempt whose answer stops in the middle.
+	stallTimeout = 10 * time.Second
+	// maxAttempts bounds the attempts that may have run.
+	maxAttempts = 3
+	// maxRefusals bounds the agents asked after one another for room.
+	maxRefusals = 3
+	// maxTopTierRefusals is maxRefusals for the top tier.
+	maxTopTierRefusals = 6
+	// maxBufferedAnswer bounds an answer that is given in one piece.
+	maxBufferedAnswer = 16 << 20
+	// minRetriesPerSecond is the retry budget of an entry with little traffic.
+	minRetriesPerSecond = 1
+)
+
+// Caller calls the processes of the system.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Config holds what an entry needs to know of itself.
+type Config struct {
+	VM     platform.VM
+	Policy routing.Policy
+	// SubsetSize is how many agents the entry keeps heartbeats with.
+	SubsetSize int
+	Seed       uint64
+}
+
+// Dependencies are the parts that an entry works with.
+type Dependencies struct {
+	Peers         Caller
+	Configuration *configsync.Store
+	// Confirm brings the configuration up to date after a pause. It returns
+	// within a bounded time, confirmed or not.
+	Confirm func(ctx context.Context)
+	// Heard is told a version of the configuration that an agent named.
+	Heard    func(version uint64, address string)
+	Members  *membership.Table
+	Clock    clock.Clock
+	Metrics  *telemetry.Metrics
+	Timeline *timeline.Recorder
+	Log      *logrus.Logger
+}
+
+// Entry serves callers.
+type Entry struct {
+	cfg     Config
+	deps    Dependencies
+	agents  *agentTable
+	budget  *retry.Budget
+	limiter *limiter
+	meters  *meters
+	pause   *pauseGuard
+}
+
+// New returns an entry. Run makes its duties work; Handler serves callers.
+func New(cfg Config, deps Dependencies) *Entry {
+	rng := rand.New(rand.NewPCG(cfg.Seed, 2))
+	router := routing.New(routing.Config{Policy: cfg.Policy, DataCentre: cfg.VM.DataCentre}, rng)
+	return &Entry{
+		cfg:     cfg,
+		deps:    deps,
+		agents:  newAgentTable(cfg, deps, router),
+		budget:  retry.NewBudget(manifest.DefaultRetryBudget, minRetriesPerSecond),
+		limiter: newLimiter(limit.New(limit.Config{})),
+		meters:  newMeters(deps.Metrics),
+		pause:   newPauseGuard(deps.Clock),
+	}
+}
+
+// Run carries out the entry's duties until the context ends.
+func (e *Entry) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return e.agents.follow(ctx) })
+	group.Go(func() error { return e.agents.heartbeats(ctx) })
+	group.Go(func() error { return e.pause.watch(ctx) })
+	return group.Wait()
+}
+
+// Ready reports whether the entry has a configuration and has heard an agent.
+func (e *Entry) Ready() bool {
+	return e.deps.Configuration.Current() != nil && e.agents.heardAny()
+}
+
+// view returns the configuration in force. After a pause of the process it is
+// confirmed first, so that a request is not served with an old version.
+func (e *Entry) view(ctx context.Context) *manifest.View {
+	if e.pause.paused() && e.deps.Confirm != nil {
+		e.deps.Confirm(ctx)
+		e.pause.clear()
+	}
+	return e.deps.Configuration.Current()
+}
--- /dev/null
+++ b/entry/keyed.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/outcome"
+	"github.com/sesameswitch/sesameswitch/timeline"
+)
+
+// keyedPatience is how long an answer to a request that runs at most once may
+// stand still before the caller is told that its outcome is unknown. The run
+// goes on, and a repeat of the key joins it.
+const keyedPatience = 30 * time.Second
+
+// serveKeyed brings a request that runs at most once to the one agent that
+// its key names. Submitting again is safe there: the agent joins a repeat to
+// the first run. What that agent cannot vouch for is unknown.
+func (e *Entry) serveKeyed(ctx context.Context, req *request, out sink) *outcome.Refusal {
+	vm, ok := e.deps.Members.Get(req.key.VM)
+	if !ok {
+		return outcome.Doubt(outcome.ReasonNoBackendServer, "the agent that the key names is not known here").After(time.Second)
+	}
+	chosen := target{vm: vm, incarnation: agentapi.Incarnation(req.key.Incarnation)}
+	args := req.args
+	args.ID = req.keyText
+	args.Incarnation = chosen.incarnation
+	args.Refuse = req.refuse
+	refusal := e.submitKeyed(ctx, req, chosen, &args)
+	if refusal != nil {
+		return refusal
+	}
+	d := &delivery{
+		entry: e, req: req, chosen: chosen, id: args.ID,
+		got: &progress{}, out: out, sent: e.deps.Clock.Now(),
+	}
+	return d.run(ctx)
+}
+
+// submitKeyed submits until the agent answers or the reconnect window ends.
+func (e *Entry) submitKeyed(ctx context.Context, req *request, chosen target, args *agentapi.SubmitArgs) *outcome.Refusal {
+	began := e.deps.Clock.Now()
+	for {
+		args.StartWithin = req.startWithin(e.deps.Clock.Now())
+		e.deps.Timeline.Record(timeline.AttemptSent, req.id, chosen.vm.Name)
+		refusal := e.submit(ctx, chosen, args)
+		if refusal == nil || refusal.Reason != outcome.ReasonConnection && refusal.Reason != outcome.ReasonTimeout {
+			return refusal
+		}
+		if ctx.Err() != nil || e.since(began) > reconnectWindow {
+			return outcome.Doubt(refusal.Reason, refusal.Detail).After(refusal.RetryAfter)
+		}
+		pause(ctx, reconnectPause)
+	}
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/idempotency"
+	"github.com/sesameswitch/sesameswitch/manifest"
+	"github.com/sesameswitch/sesameswitch/outcome"
+	"github.com/sesameswitch/sesameswitch/routing"
+)
+
+// request is one request of a caller after it was checked and classified.
+type request struct {
+	id       string
+	received time.Time
+	version  uint64
+	account  *manifest.ClientAccount
+	class    *manifest.Class
+	// key is set for requests that run at most once.
+	key     *idempotency.Key
+	keyText string
+	args    agentapi.SubmitArgs
+	route   routing.Request
+	// refuse is why the entry would refuse a request with a key; the agent
+	// decides, since the key may have been used through another entry.
+	refuse outcome.Reason
+}
+
+func (r *request) keyed() bool {
+	return r.class.Repeatability == manifest.AtMostOnce
+}
+
+// target is how long after its arrival the request's answer should begin, or
+// be whole for classes that count the whole call. Zero is no target.
+func (r *request) target() time.Duration {
+	if r.args.Stream && r.class.Targets.FirstToken > 0 {
+		return r.class.Targets.FirstToken
+	}
+	return r.class.Targets.Whole
+}
+
+// startWithin is what is left of the target at a moment.
+func (r *request) startWithin(now time.Time) time.Duration {
+	target := r.target()
+	if target == 0 {
+		return 0
+	}
+	return max(time.Millisecond, target-now.Sub(r.received))
+}
+
+// patience is how long an attempt may go without the first byte of its
+// answer before the agent is taken for stuck.
+func (r *request) patience() time.Duration {
+	target := r.target()
+	if target == 0 {
+		return stallTimeout
+	}
+	return max(2*target, target+time.Second)
+}
+
+// refusals is how many agents may refuse before the request is refused.
+func (r *request) refusals() int {
+	if r.class.Tier == manifest.TopTier {
+		return maxTopTierRefusals
+	}
+	return maxRefusals
+}
--- /dev/null
+++ b/entry/sink.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesameswitch/sesameswitch/outcome"
+)
+
+// finalSink is a sink that also ends the answer.
+type finalSink interface {
+	sink
+	// end gives the final word; a nil refusal means that the answer is whole.
+	end(refusal *outcome.Refusal)
+}
+
+// bufferSink gives an answer in one piece, once it is whole.
+type bufferSink struct {
+	w      http.ResponseWriter
+	id     string
+	code   int
+	header map[string]string
+	body   []byte
+}
+
+func newBufferSink(w http.ResponseWriter, id string) *bufferSink {
+	return &bufferSink{w: w, id: id}
+}
+
+func (s *bufferSink) head(code int, header map[string]string) {
+	s.code = code
+	s.header = header
+	s.body = nil
+}
+
+func (s *bufferSink) write(data []byte) error {
+	if len(s.body)+len(data) > maxBufferedAnswer {
+		return eris.New("entry: the answer is too long")
+	}
+	s.body = append(s.body, data...)
+	return nil
+}
+
+func (s *bufferSink) end(refusal *outcome.Refusal) {
+	if refusal != nil {
+		writeProblem(s.w, s.id, refusal)
+		return
+	}
+	h := s.w.Header()
+	copyHeaders(h, s.header)
+	h.Set(outcome.HeaderOutcome, string(outcome.Completed))
+	h.Set(HeaderRequestID, s.id)
+	h.Set("Content-Length", strconv.Itoa(len(s.body)))
+	s.w.WriteHeader(s.code)
+	_, _ = s.w.Write(s.body) // a caller that is gone has no use for the error
+}
+
+// streamSink passes a server-sent event stream on as it comes. The outcome
+// follows as a trailer, and a stream that breaks ends in an error event.
+type streamSink struct {
+	w     http.ResponseWriter
+	id    string
+	begun bool
+}
+
+func newStreamSink(w http.ResponseWriter, id string) *streamSink {
+	return &streamSink{w: w, id: id}
+}
+
+func (s *streamSink) head(code int, header map[string]string) {
+	s.begun = true
+	h := s.w.Header()
+	copyHeaders(h, header)
+	h.Set("Cache-Control", "no-store")
+	h.Set("Trailer", outcome.HeaderOutcome)
+	h.Set(HeaderRequestID, s.id)
+	s.w.WriteHeader(code)
+}
+
+func (s *streamSink) write(data []byte) error {
+	if _, err := s.w.Write(data); err != nil {
+		return err
+	}
+	if f, ok := s.w.(http.Flusher); ok {
+		f.Flush()
+	}
+	return nil
+}
+
+func (s *streamSink) end(refusal *outcome.Refusal) {
+	if refusal == nil {
+		s.w.Header().Set(outcome.HeaderOutcome, string(outcome.Completed))
+		return
+	}
+	if !s.begun {
+		writeProblem(s.w, s.id, refusal)
+		return
+	}
+	problem, err := json.Marshal(refusal.Problem(s.id))
+	if err != nil {
+		panic(err) // a Problem has only fields that can be encoded
+	}
+	event := append([]byte("event: error\ndata: "), problem...)
+	_ = s.write(append(event, "\n\n"...)) // a caller that is gone has no use for the error
+	s.w.Header().Set(outcome.HeaderOutcome, string(refusal.Outcome))
+}
+
+func copyHeaders(to http.Header, from map[string]string) {
+	for name, value := range from {
+		to.Set(name, value)
+	}
+}
+
+// writeProblem answers with a problem document.
+func writeProblem(w http.ResponseWriter, id string, refusal *outcome.Refusal) {
+	h := w.Header()
+	h.Set("Content-Type", outcome.ProblemContentType)
+	h.Set(outcome.HeaderOutcome, string(refusal.Outcome))
+	h.Set(HeaderRequestID, id)
+	if seconds := refusal.RetryAfterSeconds(); seconds > 0 {
+		h.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(refusal.Status())
+	_ = json.NewEncoder(w).Encode(refusal.Problem(id)) // a caller that is gone has no use for the error
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value) // a caller that is gone has no use for the error
+}
--- a/outcome/problem.go
+++ b/outcome/problem.go
@@ -18,6 +18,15 @@
 	Outcome   Outcome `json:"outcome"`
 	Reason    Reason  `json:"reason"`
 	RequestID string  `json:"request_id,omitempty"`
+	// Error repeats the fault in the form that OpenAI client libraries read.
+	Error ProblemError `json:"error"`
+}
+
+// ProblemError is the fault as OpenAI client libraries expect it.
+type ProblemError struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    Reason `json:"code"`
 }
 
 // statuses maps each reason to the HTTP status of its answer.
@@ -74,6 +83,7 @@
 		Outcome:   r.Outcome,
 		Reason:    r.Reason,
 		RequestID: requestID,
+		Error:     ProblemError{Message: r.Detail, Type: title, Code: r.Reason},
 	}
 }
 
