--- a/telemetry/prometheus.go
+++ b/telemetry/prometheus.go
@@ -86,6 +86,8 @@
 	}
 }
 
+// writeSummary writes the quantiles of the sample. The sum is estimated as the
+// mean of the sample times the exact count.
 func writeSummary(out *bytes.Buffer, name, labels string, h gometrics.Histogram) {
 	for i, value := range h.Percentiles(quantiles) {
 		label := `quantile="` + strconv.FormatFloat(quantiles[i], 'g', -1, 64) + `"`
