--- /dev/null
+++ b/history/admission.go
@@ -0,0 +1,156 @@
+package history
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+
+	"github.com/sesameswitch/sesameswitch/admission"
+	"github.com/sesameswitch/sesameswitch/outcome"
+)
+
+// Trace collects the decisions of one agent's queue. Its Record method fits
+// admission.Config.Trace. It is safe for concurrent use.
+type Trace struct {
+	mu     sync.Mutex
+	events []admission.Event
+}
+
+// Record adds a decision.
+func (t *Trace) Record(e admission.Event) {
+	e.Classes = slices.Clone(e.Classes)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.events = append(t.events, e)
+}
+
+// Events returns a copy of the decisions so far.
+func (t *Trace) Events() []admission.Event {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.events)
+}
+
+// CheckTierOrder checks that no request gives way to one of a lower tier:
+//
+//   - a request is refused for want of room, or evicted, only while no lower
+//     tier occupies shared room;
+//   - a request is evicted only for one of the same or a higher tier;
+//   - a request starts before one of a higher tier that waits only by its
+//     floor, and such starts take no more than the floor's share of all
+//     starts, with slack for floorSlack saved starts.
+//
+// A request that cannot start in time is refused by its deadline, in favour
+// of nobody; that is not judged here.
+func CheckTierOrder(events []admission.Event, floors map[string]float64) []Violation {
+	var found []Violation
+	byFloor := make(map[string]int)
+	starts := 0
+	for _, e := range events {
+		switch e.Action {
+		case admission.ActionRefuse, admission.ActionEvict:
+			found = append(found, checkShed(e)...)
+		case admission.ActionStart:
+			starts++
+			if !startsAhead(e) {
+				continue
+			}
+			byFloor[e.Request.Class]++
+			found = append(found, checkAhead(e, byFloor, floors, starts)...)
+		}
+	}
+	return found
+}
+
+// floorSlack is the number of starts by its floor that a class may have
+// saved up.
+const floorSlack = 2
+
+func checkShed(e admission.Event) []Violation {
+	if e.Action == admission.ActionRefuse && !wantOfRoom(e) {
+		return nil
+	}
+	tier := tierOf(e, e.Request.Class)
+	if e.Action == admission.ActionEvict && e.For != nil && tierOf(e, e.For.Class) > tier {
+		return []Violation{tierViolation(e, fmt.Sprintf("evicted for %s of class %s", e.For.ID, e.For.Class))}
+	}
+	for _, c := range e.Classes {
+		if c.Tier > tier && c.Shared > 0 {
+			return []Violation{tierViolation(e, fmt.Sprintf("%s while class %s of tier %d occupies %d shared places",
+				e.Action, c.Class, c.Tier, c.Shared))}
+		}
+	}
+	return nil
+}
+
+func wantOfRoom(e admission.Event) bool {
+	return e.Reason == outcome.ReasonQueueFull || e.Reason == outcome.ReasonShed
+}
+
+// startsAhead reports whether a request starts while one of a higher tier
+// waits.
+func startsAhead(e admission.Event) bool {
+	tier := tierOf(e, e.Request.Class)
+	for _, c := range e.Classes {
+		if c.Tier < tier && c.Queued > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func checkAhead(e admission.Event, byFloor map[string]int, floors map[string]float64, starts int) []Violation {
+	class := e.Request.Class
+	if e.Via != admission.ViaFloor {
+		return []Violation{tierViolation(e, "started ahead of a higher tier, not by its floor")}
+	}
+	allowed := floors[class]*float64(starts) + floorSlack
+	if float64(byFloor[class]) > allowed {
+		return []Violation{tierViolation(e, fmt.Sprintf("%d starts by floor of %d starts, floor %g", byFloor[class], starts, floors[class]))}
+	}
+	return nil
+}
+
+func tierOf(e admission.Event, class string) int {
+	for _, c := range e.Classes {
+		if c.Class == class {
+			return c.Tier
+		}
+	}
+	return 0
+}
+
+func tierViolation(e admission.Event, detail string) Violation {
+	return Violation{Promise: TierOrder, Subject: e.Request.ID + " of class " + e.Request.Class, Detail: detail}
+}
+
+// CheckFloors checks that no class with a floor starves: while it has
+// requests queued, no more starts of other classes pass between two of its
+// own, or before its first, than 1/floor and one for each other class.
+func CheckFloors(events []admission.Event, floors map[string]float64) []Violation {
+	var found []Violation
+	passed := make(map[string]int)
+	for _, e := range events {
+		if e.Action != admission.ActionStart {
+			continue
+		}
+		for _, c := range e.Classes {
+			floor := floors[c.Class]
+			if c.Queued == 0 || c.Class == e.Request.Class || floor <= 0 {
+				passed[c.Class] = 0
+				continue
+			}
+			passed[c.Class]++
+			allowed := int(math.Ceil(1/floor)) + len(e.Classes)
+			if passed[c.Class] == allowed+1 {
+				found = append(found, Violation{
+					Promise: Floor,
+					Subject: c.Class,
+					Detail:  fmt.Sprintf("%d starts of other classes went by, floor %g", passed[c.Class], floor),
+				})
+			}
+		}
+	}
+	return found
+}
