Spread manifest versions and the VM list among processes

A few elected processes of each data centre read the platform; versions spread by push of the number, pull of the missing chunks and a periodic question to a neighbour.

--- /dev/null
+++ b/configsync/syncer.go
@@ -0,0 +1,392 @@
+package configsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesameswitch/sesameswitch/configsync/delta"
+	"github.com/sesameswitch/sesameswitch/membership"
+	"github.com/sesameswitch/sesameswitch/platform"
+)
+
+// held is a document that this process can hand out.
+type held struct {
+	version  uint64
+	revision uint64
+	document *delta.Indexed
+}
+
+// hint says that a process has a version.
+type hint struct {
+	version uint64
+	address string
+}
+
+// Counts are the counters of a Syncer since its start.
+type Counts struct {
+	// ServiceCalls counts reads and watches of the configuration service.
+	ServiceCalls atomic.Uint64
+	// ServiceFailures counts those that failed or brought nothing usable.
+	ServiceFailures atomic.Uint64
+	// Notifies counts version numbers pushed to peers.
+	Notifies atomic.Uint64
+	// Repairs counts questions for a peer's version.
+	Repairs atomic.Uint64
+	// Pulls counts documents fetched from peers.
+	Pulls atomic.Uint64
+	// PullFailures counts those that failed.
+	PullFailures atomic.Uint64
+	// WholePulls counts pulls that fell back to the whole document.
+	WholePulls atomic.Uint64
+	// ChunkBytes counts bytes of chunks fetched from peers.
+	ChunkBytes atomic.Uint64
+	// HintsDropped counts hints of newer versions lost to a full ring.
+	HintsDropped atomic.Uint64
+	// Conflicts counts peers seen with another document of the version in
+	// force.
+	Conflicts atomic.Uint64
+}
+
+// Syncer spreads versions of the manifest among the processes of a
+// deployment. Its methods are safe for concurrent use.
+type Syncer struct {
+	cfg    SyncerConfig
+	counts Counts
+	hints  chan hint
+	// announcing holds a token while there is something to announce.
+	announcing chan struct{}
+
+	// relay is the newest document fetched from a peer. It is handed on
+	// before it is validated here: the process that read it from the
+	// configuration service has validated it.
+	relay atomic.Pointer[held]
+	// revision is the service's number of the document in force, or 0.
+	revision atomic.Uint64
+	// contactNanos is when the last answered call to a peer or the service
+	// began, in Unix nanoseconds.
+	contactNanos atomic.Int64
+
+	// pulling serialises pulls.
+	pulling sync.Mutex
+	// refused is the digest of the last document from a peer that was not
+	// taken; guarded by pulling.
+	refused delta.Digest
+	// confirming serialises confirmations.
+	confirming sync.Mutex
+
+	randMu sync.Mutex
+
+	// watch is used by the watch duty alone.
+	watch watchState
+}
+
+// NewSyncer returns a syncer that has not begun.
+func NewSyncer(cfg SyncerConfig) *Syncer {
+	return &Syncer{
+		cfg:        cfg,
+		hints:      make(chan hint, hintRingSize),
+		announcing: make(chan struct{}, 1),
+		watch:      watchState{pause: cfg.Timing.MinPause},
+	}
+}
+
+// Counts returns the syncer's counters.
+func (s *Syncer) Counts() *Counts { return &s.counts }
+
+// Run carries out the duties until the context ends: watching the
+// configuration service when elected, pulling newer versions, announcing them
+// and asking neighbours.
+func (s *Syncer) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { s.watchDuty(ctx) })
+	duties.Go(func() { s.pullDuty(ctx) })
+	duties.Go(func() { s.announceDuty(ctx) })
+	duties.Go(func() { s.repairDuty(ctx) })
+	duties.Wait()
+}
+
+// Heard takes note of the version that the process at address has in force,
+// seen on any message. It never blocks; a newer version is pulled at once.
+func (s *Syncer) Heard(version uint64, address string) {
+	if version <= s.newest() || address == "" {
+		return
+	}
+	select {
+	case s.hints <- hint{version: version, address: address}:
+	default:
+		s.counts.HintsDropped.Add(1)
+	}
+}
+
+// Fresh reports whether the version in force was confirmed by a peer or by
+// the configuration service a short while ago. After a pause of the process
+// it is false until the next confirmation.
+func (s *Syncer) Fresh() bool {
+	age := s.cfg.Clock.Now().UnixNano() - s.contactNanos.Load()
+	return age <= int64(s.cfg.Timing.FreshFor)
+}
+
+// touch notes that a call which began at start was answered.
+func (s *Syncer) touch(start time.Time) {
+	for {
+		before := s.contactNanos.Load()
+		if start.UnixNano() <= before || s.contactNanos.CompareAndSwap(before, start.UnixNano()) {
+			return
+		}
+	}
+}
+
+// newest returns the highest version that this process can hand out.
+func (s *Syncer) newest() uint64 {
+	if h := s.holding(); h != nil {
+		return h.version
+	}
+	return 0
+}
+
+// holding returns the newest document that this process can hand out.
+func (s *Syncer) holding() *held {
+	relay := s.relay.Load()
+	now := s.cfg.Store.document()
+	if now == nil {
+		return relay
+	}
+	if relay != nil && relay.version > now.view.Version() {
+		return relay
+	}
+	return &held{version: now.view.Version(), revision: s.revision.Load(), document: now.document}
+}
+
+// find returns the document with the digest if this process holds it.
+func (s *Syncer) find(digest delta.Digest) *delta.Indexed {
+	if now := s.cfg.Store.document(); now != nil && now.document.Recipe.Digest == digest {
+		return now.document
+	}
+	if relay := s.relay.Load(); relay != nil && relay.document.Recipe.Digest == digest {
+		return relay.document
+	}
+	return nil
+}
+
+// offer describes the document in force or in relay to a peer.
+func (s *Syncer) offer(address string) Offer {
+	h := s.holding()
+	if h == nil {
+		return Offer{Address: address}
+	}
+	return Offer{
+		Version:  h.version,
+		Digest:   shortDigest(h.document.Recipe.Digest),
+		Revision: h.revision,
+		Address:  address,
+	}
+}
+
+// compare takes note of what a peer offers.
+func (s *Syncer) compare(peer Offer, address string) {
+	own := s.offer("")
+	if peer.Version == own.Version && peer.Digest != own.Digest {
+		s.counts.Conflicts.Add(1)
+	}
+	s.Heard(peer.Version, address)
+}
+
+// compareNow takes note of what a peer offers and pulls it before it returns.
+func (s *Syncer) compareNow(ctx context.Context, peer Offer, address string) {
+	if peer.Version <= s.cfg.Store.Version() {
+		s.compare(peer, address)
+		return
+	}
+	s.pull(ctx, address)
+}
+
+// pullDuty fetches versions that others were heard to have.
+func (s *Syncer) pullDuty(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case h := <-s.hints:
+			s.follow(ctx, h)
+		}
+	}
+}
+
+// follow pulls a version that was heard of, from the process that has it or
+// else from a neighbour.
+func (s *Syncer) follow(ctx context.Context, h hint) {
+	if h.version <= s.newest() {
+		return
+	}
+	if s.pull(ctx, h.address) {
+		return
+	}
+	if neighbour, ok := s.randomNeighbour(); ok && h.version > s.newest() {
+		s.pull(ctx, neighbour.Address)
+	}
+}
+
+// announceSoon wakes the announcing duty.
+func (s *Syncer) announceSoon() {
+	select {
+	case s.announcing <- struct{}{}:
+	default:
+	}
+}
+
+// announceDuty pushes new version numbers to the neighbours.
+func (s *Syncer) announceDuty(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.announcing:
+			s.announce(ctx)
+		}
+	}
+}
+
+// announce tells the neighbours which version this process can hand out.
+func (s *Syncer) announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Timing.CallTimeout)
+	defer cancel()
+	var calls errgroup.Group
+	for _, vm := range s.neighbours() {
+		calls.Go(func() error {
+			s.notify(ctx, vm.Address)
+			return nil
+		})
+	}
+	_ = calls.Wait()
+}
+
+func (s *Syncer) notify(ctx context.Context, address string) {
+	var reply Offer
+	s.counts.Notifies.Add(1)
+	err := s.cfg.Caller.Call(ctx, address, MethodNotify, s.offer(s.cfg.Members.Self().Address), &reply)
+	if err == nil {
+		s.compare(reply, address)
+	}
+}
+
+// repairDuty asks one neighbour after another for its version.
+func (s *Syncer) repairDuty(ctx context.Context) {
+	for sleep(ctx, s.jitter(s.cfg.Timing.RepairInterval)) {
+		s.repair(ctx)
+	}
+}
+
+// repair asks a random neighbour for its version, and any other process when
+// the neighbour does not answer.
+func (s *Syncer) repair(ctx context.Context) {
+	neighbour, ok := s.randomNeighbour()
+	if !ok {
+		s.touch(s.cfg.Clock.Now())
+		return
+	}
+	if s.ask(ctx, neighbour.Address) {
+		return
+	}
+	if other, ok := s.randomPeer(); ok {
+		s.ask(ctx, other.Address)
+	}
+}
+
+// ask exchanges version numbers with a process.
+func (s *Syncer) ask(ctx context.Context, address string) bool {
+	start := s.cfg.Clock.Now()
+	s.counts.Repairs.Add(1)
+	var reply Offer
+	if err := s.exchange(ctx, address, &reply); err != nil {
+		return false
+	}
+	s.compareNow(ctx, reply, address)
+	if reply.Version <= s.cfg.Store.Version() {
+		s.touch(start)
+	}
+	return true
+}
+
+// exchange tells a process what this one offers and asks for its offer.
+func (s *Syncer) exchange(ctx context.Context, address string, reply *Offer) error {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Timing.CallTimeout)
+	defer cancel()
+	args := s.offer(s.cfg.Members.Self().Address)
+	return s.cfg.Caller.Call(ctx, address, MethodVersion, args, reply)
+}
+
+// neighbours returns the processes that this one announces versions to.
+func (s *Syncer) neighbours() []platform.VM {
+	epoch := uint64(s.cfg.Clock.Now().UnixNano() / int64(s.cfg.Timing.NeighbourPeriod))
+	return membership.Neighbours(s.cfg.Members.Self(), s.cfg.Members.VMs(), epoch, localNeighbours, remoteNeighbours)
+}
+
+func (s *Syncer) randomNeighbour() (platform.VM, bool) {
+	list := s.neighbours()
+	if len(list) == 0 {
+		return platform.VM{}, false
+	}
+	return list[s.intN(len(list))], true
+}
+
+// randomPeer returns any other process of the deployment.
+func (s *Syncer) randomPeer() (platform.VM, bool) {
+	peers := s.sample(1)
+	if len(peers) == 0 {
+		return platform.VM{}, false
+	}
+	return peers[0], true
+}
+
+// sample returns up to n other processes in random order.
+func (s *Syncer) sample(n int) []platform.VM {
+	self := s.cfg.Members.Self()
+	vms := s.cfg.Members.VMs()
+	s.randMu.Lock()
+	order := s.cfg.Rand.Perm(len(vms))
+	s.randMu.Unlock()
+	var peers []platform.VM
+	for _, i := range order {
+		if len(peers) == n {
+			break
+		}
+		if vms[i].Name != self.Name && vms[i].Address != self.Address {
+			peers = append(peers, vms[i])
+		}
+	}
+	return peers
+}
+
+func (s *Syncer) intN(n int) int {
+	s.randMu.Lock()
+	defer s.randMu.Unlock()
+	return s.cfg.Rand.IntN(n)
+}
+
+// jitter returns a duration between half and one and a half of d.
+func (s *Syncer) jitter(d time.Duration) time.Duration {
+	s.randMu.Lock()
+	defer s.randMu.Unlock()
+	return jitter(s.cfg.Rand, d)
+}
+
+func jitter(rng *rand.Rand, d time.Duration) time.Duration {
+	return d/2 + time.Duration(rng.Int64N(int64(d)+1))
+}
+
+// sleep waits for d; it returns false when the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/configsync/watch.go
@@ -0,0 +1,115 @@
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesameswitch/sesameswitch/membership"
+	"github.com/sesameswitch/sesameswitch/platform"
+)
+
+// dutyPurpose names the election of the configuration service's watchers.
+const dutyPurpose = "configuration watcher"
+
+// watchState is what a watcher remembers between two watches.
+type watchState struct {
+	// pause is the mean wait before the next call.
+	pause time.Duration
+	// refused is true while the service's document is not the one in force;
+	// seen is then its revision.
+	refused bool
+	seen    uint64
+}
+
+// watchDuty watches the configuration service while this process is elected.
+func (s *Syncer) watchDuty(ctx context.Context) {
+	if s.cfg.Source == nil {
+		return
+	}
+	for {
+		wait := s.cfg.Timing.DutyCheck
+		if s.onDuty() {
+			wait = s.watchOnce(ctx)
+		} else {
+			s.watch = watchState{pause: s.cfg.Timing.MinPause}
+		}
+		if !sleep(ctx, s.jitter(wait)) {
+			return
+		}
+	}
+}
+
+// onDuty reports whether this process is a watcher now.
+func (s *Syncer) onDuty() bool {
+	now := s.cfg.Clock.Now().UnixNano()
+	epoch := uint64(now / int64(s.cfg.Timing.DutyPeriod))
+	return membership.OnDuty(s.cfg.Members.Self(), s.cfg.Members.VMs(), dutyPurpose, epoch, WatchersPerDataCentre)
+}
+
+// watchOnce waits once for a change at the configuration service. It returns
+// the mean wait before the next call.
+func (s *Syncer) watchOnce(ctx context.Context) time.Duration {
+	timeout := s.watchTimeout()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	start := s.cfg.Clock.Now()
+	s.counts.ServiceCalls.Add(1)
+	doc, changed, err := s.cfg.Source.Watch(ctx, s.watchAfter())
+	took := s.cfg.Clock.Now().Sub(start)
+	useful := false
+	switch {
+	case err != nil:
+		useful = ctx.Err() != nil && took >= timeout
+	case !changed:
+		s.touch(start)
+		useful = took >= s.cfg.Timing.MinPause
+	default:
+		s.touch(start)
+		useful = s.offerFromService(doc)
+	}
+	return s.nextPause(useful)
+}
+
+// watchTimeout ends a watch at the latest when the watcher's turn is over.
+func (s *Syncer) watchTimeout() time.Duration {
+	period := int64(s.cfg.Timing.DutyPeriod)
+	left := time.Duration(period - s.cfg.Clock.Now().UnixNano()%period)
+	return max(min(left, s.cfg.Timing.WatchTimeout), s.cfg.Timing.ServiceTimeout)
+}
+
+// watchAfter returns the revision that a watch waits to see replaced.
+func (s *Syncer) watchAfter() uint64 {
+	if s.watch.refused {
+		return s.watch.seen
+	}
+	return s.revision.Load()
+}
+
+// nextPause grows the wait between calls while they bring nothing.
+func (s *Syncer) nextPause(useful bool) time.Duration {
+	if useful {
+		s.watch.pause = s.cfg.Timing.MinPause
+		return s.watch.pause
+	}
+	s.counts.ServiceFailures.Add(1)
+	pause := s.watch.pause
+	s.watch.pause = min(2*pause, s.cfg.Timing.MaxPause)
+	return pause
+}
+
+// offerFromService offers a document of the configuration service to the
+// store and announces it when it is new. It reports whether the document is
+// in force.
+func (s *Syncer) offerFromService(doc platform.Document) bool {
+	verdict, _ := s.cfg.Store.Offer(doc.Body, SourceService)
+	if verdict != Accepted && verdict != Same {
+		s.watch.refused, s.watch.seen = true, doc.Revision
+		return false
+	}
+	s.watch.refused = false
+	s.revision.Store(doc.Revision)
+	if verdict == Accepted {
+		s.announceSoon()
+	}
+	return true
+}
--- /dev/null
+++ b/membership/elect.go
@@ -0,0 +1,100 @@
+package membership
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sesameswitch/sesameswitch/platform"
+)
+
+// weight is the rendezvous weight of a VM for a purpose and an epoch.
+func weight(purpose string, epoch uint64, name string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	var number [8]byte
+	binary.LittleEndian.PutUint64(number[:], epoch)
+	_, _ = digest.WriteString(purpose)
+	_, _ = digest.Write(number[:])
+	_, _ = digest.WriteString(name)
+	return digest.Sum64()
+}
+
+// Elect returns the n VMs with the highest rendezvous weight for a purpose
+// and an epoch. Processes with the same list elect alike; with different
+// lists they differ only by the VMs that the lists differ in.
+func Elect(vms []platform.VM, purpose string, epoch uint64, n int) []platform.VM {
+	type candidate struct {
+		vm     platform.VM
+		weight uint64
+	}
+	best := make([]candidate, 0, n+1)
+	for _, vm := range vms {
+		c := candidate{vm: vm, weight: weight(purpose, epoch, vm.Name)}
+		at, _ := slices.BinarySearchFunc(best, c, func(a, b candidate) int {
+			if a.weight >= b.weight {
+				return -1
+			}
+			return 1
+		})
+		if at >= n {
+			continue
+		}
+		best = slices.Insert(best, at, c)
+		if len(best) > n {
+			best = best[:n]
+		}
+	}
+	elected := make([]platform.VM, len(best))
+	for i, c := range best {
+		elected[i] = c.vm
+	}
+	return elected
+}
+
+// OnDuty reports whether self is among the n VMs that its data centre elects
+// for a purpose and an epoch. Leaving VMs are not elected. When the list
+// names no candidate in the data centre, everyone there is on duty.
+func OnDuty(self platform.VM, vms []platform.VM, purpose string, epoch uint64, n int) bool {
+	var candidates []platform.VM
+	for _, vm := range vms {
+		if vm.DataCentre == self.DataCentre && vm.State != platform.VMLeaving {
+			candidates = append(candidates, vm)
+		}
+	}
+	if len(candidates) == 0 {
+		return true
+	}
+	for _, vm := range Elect(candidates, purpose, epoch, n) {
+		if vm.Name == self.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// Neighbours returns the VMs that self exchanges versions with during an
+// epoch: local of its own data centre and remote of the others. The choice
+// differs from VM to VM, so that together they join all VMs into one graph of
+// small degree. When there are too few of one kind, the other fills the
+// places.
+func Neighbours(self platform.VM, vms []platform.VM, epoch uint64, local, remote int) []platform.VM {
+	var near, far []platform.VM
+	for _, vm := range vms {
+		switch {
+		case vm.Name == self.Name || vm.Address == self.Address:
+		case vm.DataCentre == self.DataCentre:
+			near = append(near, vm)
+		default:
+			far = append(far, vm)
+		}
+	}
+	purpose := "neighbours of " + self.Name
+	total := local + remote
+	near = Elect(near, purpose, epoch, total)
+	far = Elect(far, purpose, epoch, total)
+	nearShare := min(len(near), max(local, total-len(far)))
+	farShare := min(len(far), total-nearShare)
+	return append(near[:nearShare:nearShare], far[:farShare]...)
+}
