Join the parts into daemons

Cause: entry and agent need the same frame: settings, admin listener, life from start to stop, configuration and membership. Package node holds it, and both commands only parse settings and wire.

--- /dev/null
+++ b/cmd/sesame-entry/main.go
@@ -0,0 +1,83 @@
+// Command sesame-entry serves callers and brings their requests to agents.
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesameswitch/sesameswitch/agent"
+	"github.com/sesameswitch/sesameswitch/entry"
+	"github.com/sesameswitch/sesameswitch/node"
+	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/routing"
+	"github.com/sesameswitch/sesameswitch/settings"
+)
+
+// flags are the settings of an entry.
+type flags struct {
+	node.Settings
+	Listen     string `default:"127.0.0.1:8080" validate:"hostname_port" help:"Address for callers."`
+	PeerListen string `default:"127.0.0.1:0" validate:"hostname_port" help:"Address for other processes of the system."`
+	SubsetSize int    `default:"24" validate:"min=1,max=1000" help:"Agents that this entry keeps heartbeats with."`
+	Policy     string `default:"sesame" validate:"oneof=sesame round-robin least" help:"Choice of agent; round-robin and least are baselines for experiments."`
+}
+
+func main() {
+	var f flags
+	program := settings.Program{Name: "sesame-entry", Description: "The process that callers talk to."}
+	proceed, code := settings.Load(&f, program, os.Args[1:], os.Stdout, os.Stderr)
+	if !proceed {
+		os.Exit(code)
+	}
+	if err := run(&f); err != nil {
+		fmt.Fprintln(os.Stderr, eris.ToString(err, false))
+		os.Exit(settings.ExitFailure)
+	}
+}
+
+func run(f *flags) error {
+	log, err := f.Logger(os.Stderr)
+	if err != nil {
+		return err
+	}
+	peers, err := net.Listen("tcp", f.PeerListen)
+	if err != nil {
+		return eris.Wrap(err, "peer listener")
+	}
+	callers, err := net.Listen("tcp", f.Listen)
+	if err != nil {
+		return eris.Wrap(err, "caller listener")
+	}
+	now := time.Now()
+	n := node.New(f.Settings, node.Identity{
+		Role: platform.RoleEntry, Incarnation: string(agent.NewIncarnation(now)), Address: peers.Addr().String(),
+	}, log)
+	e := entry.New(entry.Config{
+		VM: n.Self, Policy: policy(f.Policy), SubsetSize: f.SubsetSize, Seed: uint64(now.UnixNano()),
+	}, entry.Dependencies{
+		Peers: n.Peers, Configuration: n.Configuration, Confirm: n.Confirm, Heard: n.Heard,
+		Members: n.Members, Clock: n.Clock, Metrics: n.Metrics, Timeline: n.Timeline, Log: log,
+	})
+	daemon, err := entry.NewDaemon(e, callers)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("listening callers=%s\n", callers.Addr())
+	return n.Run(daemon, peers, os.Stdout)
+}
+
+// policy maps the experiment's policy to the entry's part of it.
+func policy(name string) routing.Policy {
+	switch name {
+	case "round-robin":
+		return routing.PolicyRoundRobin
+	case "least":
+		return routing.PolicyLeast
+	default:
+		return routing.PolicySesame
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -21,8 +21,9 @@
 
 // progress is what the caller has of the answer, over all attempts.
 type progress struct {
-	begun  bool
-	events int
+	begun    bool
+	events   int
+	numbered bool
 }
 
 // serveRepeatable makes attempts until one completes, the request is refused
--- a/entry/delivery.go
+++ b/entry/delivery.go
@@ -12,7 +12,10 @@
 	"github.com/sesameswitch/sesameswitch/routing"
 )
 
-var eventEnd = []byte("\n\n")
+var (
+	eventEnd        = []byte("\n\n")
+	eventNumberLine = []byte("\nid:")
+)
 
 // delivery reads one run's answer from an agent and passes it on.
 type delivery struct {
@@ -142,10 +145,27 @@
 	if end == 0 {
 		return nil
 	}
-	d.got.events += bytes.Count(data[:end], eventEnd)
+	d.got.count(data[:end])
 	return d.out.write(data[:end])
 }
 
+// count adds the tokens in whole events. Numbered events are tokens; of a
+// stream without numbers each event counts.
+func (p *progress) count(events []byte) {
+	numbered := bytes.Count(events, eventNumberLine)
+	if bytes.HasPrefix(events, eventNumberLine[1:]) {
+		numbered++
+	}
+	if numbered > 0 {
+		p.numbered = true
+	}
+	if p.numbered {
+		p.events += numbered
+		return
+	}
+	p.events += bytes.Count(events, eventEnd)
+}
+
 // observation says how the attempt went.
 func (d *delivery) observation(refusal *outcome.Refusal) routing.Observation {
 	o := routing.Observation{Kind: routing.KindCompleted, FirstToken: d.firstBytes, Whole: d.entry.since(d.sent)}
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -67,6 +67,9 @@
 }
 
 func (a *answer) appendChunk(buffer, head []byte, i int) []byte {
+	buffer = append(buffer, "id: "...)
+	buffer = strconv.AppendInt(buffer, int64(i), 10)
+	buffer = append(buffer, '\n')
 	buffer = append(buffer, head...)
 	if i == 0 {
 		buffer = append(buffer, `"role":"assistant",`...)
