Serve a request from end to end through separate processes

Cause: the daemons were wired but had not run together. Processes now learn the members first, then confirm the configuration with peers and service, and are ready after that.

Ruled out: a guard of its own for processes that were frozen; the syncer's Fresh tells the same.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,8 +79,8 @@
 type Dependencies struct {
 	Peers         Caller
 	Configuration *configsync.Store
-	// Confirm brings the configuration up to date after a pause. It returns
-	// within a bounded time, confirmed or not.
+	// Confirm brings the configuration up to date when it was not confirmed
+	// for a while. It returns within a bounded time, confirmed or not.
 	Confirm func(ctx context.Context)
 	// Heard is told a version of the configuration that an agent named.
 	Heard    func(version uint64, address string)
@@ -99,7 +99,6 @@
 	budget  *retry.Budget
 	limiter *limiter
 	meters  *meters
-	pause   *pauseGuard
 }
 
 // New returns an entry. Run makes its duties work; Handler serves callers.
@@ -113,7 +112,6 @@
 		budget:  retry.NewBudget(manifest.DefaultRetryBudget, minRetriesPerSecond),
 		limiter: newLimiter(limit.New(limit.Config{})),
 		meters:  newMeters(deps.Metrics),
-		pause:   newPauseGuard(deps.Clock),
 	}
 }
 
@@ -122,7 +120,6 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.agents.follow(ctx) })
 	group.Go(func() error { return e.agents.heartbeats(ctx) })
-	group.Go(func() error { return e.pause.watch(ctx) })
 	return group.Wait()
 }
 
@@ -131,12 +128,12 @@
 	return e.deps.Configuration.Current() != nil && e.agents.heardAny()
 }
 
-// view returns the configuration in force. After a pause of the process it is
-// confirmed first, so that a request is not served with an old version.
+// view returns the configuration in force. It is confirmed first when that
+// was not done for a while, so that a process which was frozen does not serve
+// a request with an old version.
 func (e *Entry) view(ctx context.Context) *manifest.View {
-	if e.pause.paused() && e.deps.Confirm != nil {
+	if e.deps.Confirm != nil {
 		e.deps.Confirm(ctx)
-		e.pause.clear()
 	}
 	return e.deps.Configuration.Current()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -145,11 +145,12 @@
 // Draining reports whether the process was asked to end.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
-// Confirm brings the configuration up to date within a bounded time.
+// Confirm brings the configuration up to date within a bounded time, unless
+// that was done a moment ago.
 func (n *Node) Confirm(ctx context.Context) { n.duties.confirm(ctx) }
 
 // Heard takes up the version that a peer named.
-func (n *Node) Heard(version uint64, address string) { n.duties.heard(version, address) }
+func (n *Node) Heard(version uint64, address string) { n.duties.syncer.Heard(version, address) }
 
 // HeardFrom takes up the version that the process on a VM named.
 func (n *Node) HeardFrom(version uint64, vm string) {
@@ -157,6 +158,6 @@
 		return
 	}
 	if member, ok := n.Members.Get(vm); ok {
-		n.duties.heard(version, member.Address)
+		n.duties.syncer.Heard(version, member.Address)
 	}
 }
--- a/node/run.go
+++ b/node/run.go
@@ -41,7 +41,11 @@
 // the platform asks for it, and stops. A second signal changes nothing: the
 // drain goes on until the process is idle or the drain timeout ends.
 func (n *Node) Run(role Role, peers net.Listener, announce io.Writer) error {
-	server, admin, err := n.serveAdmin(role.Load, role.Ready)
+	if err := n.duties.register(n); err != nil {
+		return err
+	}
+	ready := func() bool { return n.duties.confirmed.Load() && role.Ready() }
+	server, admin, err := n.serveAdmin(role.Load, ready)
 	if err != nil {
 		return err
 	}
@@ -59,7 +63,7 @@
 	group.Go(func() error {
 		defer cancel()
 		defer n.close(server, peers)
-		n.live(ctx, role, signals)
+		n.live(ctx, role, ready, signals)
 		return nil
 	})
 	fmt.Fprintf(announce, "listening peers=%s admin=%s\n", peers.Addr(), admin.Addr())
@@ -67,8 +71,8 @@
 }
 
 // live goes through the states of the process.
-func (n *Node) live(ctx context.Context, role Role, signals <-chan os.Signal) {
-	if !n.await(ctx, signals, role.Ready) {
+func (n *Node) live(ctx context.Context, role Role, ready func() bool, signals <-chan os.Signal) {
+	if !n.await(ctx, signals, ready) {
 		n.fire("stop")
 		return
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -17,7 +17,7 @@
 
 	AdminListen string `default:"127.0.0.1:0" validate:"hostname_port" help:"Address for metrics, time line and status."`
 	ConfigURL   string `name:"config-url" required:"" validate:"url" help:"Base URL of the configuration service."`
-	ConfigKey   string `default:"sesame/manifest" help:"Key of the manifest in the configuration service."`
+	ConfigKey   string `default:"sesame-manifest" help:"Key of the manifest in the configuration service."`
 	VMListURL   string `name:"vm-list-url" required:"" validate:"url" help:"Base URL of the list of VMs."`
 
 	DrainTimeout   time.Duration `default:"10m" validate:"min=0" help:"Longest time to wait for requests in flight when the process is asked to end."`
