Withdraw keys of queued requests that are refused, and doubt refusals by configuration

Cause: (1) the agent sealed the key of an evicted or unstartable request, but a key with a value stays as it is, so a repeat joined a run that has no answer and got unknown for a request that did not run. (2) An entry answered not_run with 401, 403 or 413 to a repeat of a key whose first use had run through an entry with another version of the configuration.

What changed: Table.Withdraw turns a value that never ran into its refusal; the agent uses it, passes the request's sum to Seal and follows changed limits. The entry answers unknown to a refused request with a key, unless the request is malformed or the key is damaged or another account's.

Ruled out: Seal replacing values; a caller of Seal could then refuse what runs. Not covered: a bad_request that hangs on the configuration (a class unknown here, the nesting limit) is still not_run.

--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -92,6 +92,7 @@
 		})
 		return
 	}
+	s.table.Configure(limits.KeysPerAgent, limits.KeyValidity)
 	for _, r := range s.queue.Reconfigure(cfg) {
 		s.refuse(now, r.Value.(*run), outcome.Refuse(outcome.ReasonStaleConfig, "the class is no longer configured"))
 	}
@@ -174,7 +175,7 @@
 // seal refuses a key for good unless it was accepted before.
 func (s *scheduler) seal(now time.Time, args *agentapi.SubmitArgs) agentapi.SubmitReply {
 	refusal := outcome.Refuse(args.Refuse, "refused by the entry").After(time.Second)
-	verdict, _, refusal := s.table.Seal(now, args.ID, args.Account, refusal)
+	verdict, _, refusal := s.table.Seal(now, args.ID, args.Account, args.BodySum, refusal)
 	if verdict == idempotency.Joined {
 		return agentapi.SubmitReply{Accepted: true, Joined: true, Status: *s.status.Load()}
 	}
@@ -227,7 +228,7 @@
 	s.meters.refused(refusal.Reason)
 	s.deps.Timeline.Record(timeline.RunShed, r.args.RequestID, string(refusal.Reason))
 	if r.keyed {
-		s.table.Seal(now, r.args.ID, r.args.Account, refusal)
+		s.table.Withdraw(r.args.ID, refusal)
 		return
 	}
 	if _, ok := s.runs.Load(r.args.ID); ok {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -206,21 +206,23 @@
 		req.account = c.account
 		refusal = read(ctx, c, req)
 	}
+	refusal = doubtRepeat(refusal, ctx.GetHeader(HeaderIdempotencyKey))
 	if refusal == nil {
 		refusal = e.identify(ctx, c, req)
 	}
 	if refusal != nil {
-		e.refuse(ctx, req.id, doubtRepeat(refusal, ctx.GetHeader(HeaderIdempotencyKey)))
+		e.refuse(ctx, req.id, refusal)
 		return
 	}
 	e.deps.Timeline.Record(timeline.RequestReceived, req.id, req.class.Name)
 	e.answer(ctx, req)
 }
 
-// doubtRepeat corrects a refusal that hangs on this entry's state: when the
-// request carries a key, an earlier use of the key may have run.
+// doubtRepeat corrects a refusal that hangs on this entry's state or on the
+// configuration in force here: when the request carries a key, an entry with
+// another version may have let an earlier use of the key run.
 func doubtRepeat(refusal *outcome.Refusal, key string) *outcome.Refusal {
-	if refusal.Reason != outcome.ReasonStarting && refusal.Reason != outcome.ReasonNotFound {
+	if refusal == nil || refusal.Reason == outcome.ReasonBadRequest {
 		return refusal
 	}
 	if _, err := idempotency.Parse(key); err != nil {
--- a/idempotency/simulation_test.go
+++ b/idempotency/simulation_test.go
@@ -330,6 +330,9 @@
 	if !run.done && run.refusal == nil {
 		return
 	}
+	if run.refusal != nil {
+		a.table.Withdraw(run.key, run.refusal)
+	}
 	for _, c := range run.waiting {
 		if run.refusal != nil {
 			a.reply(c, run.refusal.Outcome, run.refusal.Reason, nil)
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -132,6 +132,20 @@
 	return Refused, none, t.seal(now, k, key, account, sum, refusal)
 }
 
+// Withdraw replaces the value of a key by a refusal, which later uses of the
+// key get. The caller vouches that the value's request has not run and never
+// will: it was queued, and is not any more. A key without a value is left
+// alone.
+func (t *Table[V]) Withdraw(key string, refusal *outcome.Refusal) {
+	s, known := t.slots[key]
+	if !known || s.refusal != nil {
+		return
+	}
+	var none V
+	s.value = none
+	s.refusal = refusal
+}
+
 // Forget drops the keys whose validity is over and returns their number.
 func (t *Table[V]) Forget(now time.Time) int {
 	t.advance(now)
--- a/idempotency/table_test.go
+++ b/idempotency/table_test.go
@@ -122,6 +122,16 @@
 	}
 }
 
+func TestWithdrawnKeyIsRefusedFromThenOn(t *testing.T) {
+	b := newBench(4)
+	key := b.mint(b.now)
+	b.wantNew(t, key)
+	b.table.Withdraw(key, outcome.Refuse(outcome.ReasonShed, ""))
+	b.wantRefused(t, key, "acme", 1, outcome.NotRun, outcome.ReasonShed)
+	b.table.Withdraw(key, outcome.Refuse(outcome.ReasonDeadline, ""))
+	b.wantRefused(t, key, "acme", 1, outcome.NotRun, outcome.ReasonShed)
+}
+
 func TestFullTableRefusesForGoodAndKeepsLiveKeys(t *testing.T) {
 	b := newBench(2)
 	live := []string{b.mint(b.now), b.mint(b.now.Add(time.Second))}
