--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -92,6 +92,7 @@
 		})
 		return
 	}
+	s.table.Configure(limits.KeysPerAgent, limits.KeyValidity)
 	for _, r := range s.queue.Reconfigure(cfg) {
 		s.refuse(now, r.Value.(*run), outcome.Refuse(outcome.ReasonStaleConfig, "the class is no longer configured"))
 	}
@@ -227,7 +228,7 @@
 	s.meters.refused(refusal.Reason)
 	s.deps.Timeline.Record(timeline.RunShed, r.args.RequestID, string(refusal.Reason))
 	if r.keyed {
-		s.table.Seal(now, r.args.ID, r.args.Account, r.args.BodySum, refusal)
+		s.table.Withdraw(r.args.ID, refusal)
 		return
 	}
 	if _, ok := s.runs.Load(r.args.ID); ok {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -89,7 +89,7 @@
 		<-ctx.Done()
 	case <-ctx.Done():
 	}
-	d.server.Close()
+	_ = d.server.Close() // the process ends
 	return <-duties
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -123,7 +123,7 @@
 
 func (n *Node) close(admin *http.Server, peers net.Listener) {
 	peers.Close()
-	admin.Close()
+	_ = admin.Close() // the process ends
 	n.PeerServer.Close()
 	n.Peers.Close()
 }
