Add a test bed that starts a deployment of real processes on loopback

Cause: demo, proofs and experiments all need stand-ins, agents and entries as separate processes, started, listed and ended alike.

--- /dev/null
+++ b/testbed/bed.go
@@ -0,0 +1,258 @@
+package testbed
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesameswitch/sesameswitch/platform"
+)
+
+// ConfigKey is the key of the manifest in a bed's configuration service.
+const ConfigKey = "sesame-manifest"
+
+// Bed is a deployment of real processes with stand-ins of the platform.
+type Bed struct {
+	// Bin is the folder of the programs, Logs that of their logs.
+	Bin  string
+	Logs string
+	// Config and VMs are the platform's stand-ins.
+	Config *Process
+	VMs    *Process
+
+	mu        sync.Mutex
+	processes []*Process
+	members   []platform.VM
+}
+
+// New starts the stand-ins of the configuration service and the VM list. The
+// caller closes the bed.
+func New(bin, logs string) (*Bed, error) {
+	if err := os.MkdirAll(logs, 0o755); err != nil {
+		return nil, eris.Wrap(err, "testbed: logs")
+	}
+	b := &Bed{Bin: bin, Logs: logs}
+	var err error
+	if b.Config, err = b.Start("config", "sesame-standin", "config"); err != nil {
+		return nil, err
+	}
+	if b.VMs, err = b.Start("vms", "sesame-standin", "vmlist"); err != nil {
+		b.Close()
+		return nil, err
+	}
+	return b, nil
+}
+
+// Start starts one program under a name.
+func (b *Bed) Start(name, program string, args ...string) (*Process, error) {
+	p, err := startProcess(name, filepath.Join(b.Bin, program), logPath(b.Logs, name), args)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p.cmd != nil {
+		b.processes = append(b.processes, p)
+	}
+	return p, err
+}
+
+// Close ends all processes that the bed started.
+func (b *Bed) Close() {
+	b.mu.Lock()
+	processes := slices.Clone(b.processes)
+	b.mu.Unlock()
+	for _, p := range slices.Backward(processes) {
+		p.Kill()
+	}
+}
+
+// Publish puts a manifest into the configuration service.
+func (b *Bed) Publish(manifest []byte) error {
+	return put("http://"+b.Config.Address("")+"/admin/values/"+ConfigKey, manifest)
+}
+
+// SetFaults sets the faults of a stand-in.
+func (b *Bed) SetFaults(standin *Process, faults any) error {
+	body, err := json.Marshal(faults)
+	if err != nil {
+		return eris.Wrap(err, "testbed: faults")
+	}
+	return put("http://"+standin.Address("")+"/admin/faults", body)
+}
+
+// Agent describes an agent to start.
+type Agent struct {
+	VM         string
+	DataCentre string
+	// Backend is the backend server beside it.
+	Backend  *Process
+	Models   string
+	Services string
+	Slots    int
+	// Listen is the address for peers; empty picks one.
+	Listen string
+	Policy string
+	Args   []string
+}
+
+// StartAgent starts an agent and lists its VM. The address stays the same when
+// the process is started again.
+func (b *Bed) StartAgent(a Agent) (*Process, error) {
+	listen, err := b.listenAddress(a.Listen)
+	if err != nil {
+		return nil, err
+	}
+	args := append(b.common(a.VM, a.DataCentre, a.Policy),
+		"--listen", listen, "--backend-url", "http://"+a.Backend.Address(""), "--slots", strconv.Itoa(max(1, a.Slots)))
+	if a.Models != "" {
+		args = append(args, "--models", a.Models)
+	}
+	if a.Services != "" {
+		args = append(args, "--backend-kind", "service", "--services", a.Services)
+	}
+	p, err := b.Start(a.VM, "sesame-agent", append(args, a.Args...)...)
+	if err != nil {
+		return nil, err
+	}
+	return p, b.List(platform.VM{
+		Name: a.VM, Address: p.Address("peers"), DataCentre: a.DataCentre,
+		Role: platform.RoleAgent, State: platform.VMLive,
+	})
+}
+
+// Entry describes an entry to start.
+type Entry struct {
+	VM         string
+	DataCentre string
+	Policy     string
+	Args       []string
+}
+
+// StartEntry starts an entry and lists its VM.
+func (b *Bed) StartEntry(e Entry) (*Process, error) {
+	callers, err := b.listenAddress("")
+	if err != nil {
+		return nil, err
+	}
+	peers, err := b.listenAddress("")
+	if err != nil {
+		return nil, err
+	}
+	args := append(b.common(e.VM, e.DataCentre, e.Policy), "--listen", callers, "--peer-listen", peers)
+	p, err := b.Start(e.VM, "sesame-entry", append(args, e.Args...)...)
+	if err != nil {
+		return nil, err
+	}
+	return p, b.List(platform.VM{
+		Name: e.VM, Address: p.Address("peers"), DataCentre: e.DataCentre,
+		Role: platform.RoleEntry, State: platform.VMLive,
+	})
+}
+
+func (b *Bed) common(vm, dataCentre, policy string) []string {
+	args := []string{
+		"--vm", vm, "--data-centre", dataCentre,
+		"--config-url", "http://" + b.Config.Address(""), "--config-key", ConfigKey,
+		"--vm-list-url", "http://" + b.VMs.Address(""),
+	}
+	if policy != "" {
+		args = append(args, "--policy", policy)
+	}
+	return args
+}
+
+// listenAddress returns the wanted address or picks a free one.
+func (b *Bed) listenAddress(wanted string) (string, error) {
+	if wanted != "" {
+		return wanted, nil
+	}
+	return FreeAddress()
+}
+
+// List adds a VM to the platform's list or replaces the one of its name.
+func (b *Bed) List(vm platform.VM) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	index := slices.IndexFunc(b.members, func(m platform.VM) bool { return m.Name == vm.Name })
+	if index < 0 {
+		b.members = append(b.members, vm)
+	} else {
+		b.members[index] = vm
+	}
+	return b.publishMembers()
+}
+
+// Unlist takes a VM off the platform's list.
+func (b *Bed) Unlist(name string) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members = slices.DeleteFunc(b.members, func(m platform.VM) bool { return m.Name == name })
+	return b.publishMembers()
+}
+
+// Members returns the VMs as the platform lists them.
+func (b *Bed) Members() []platform.VM {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.members)
+}
+
+func (b *Bed) publishMembers() error {
+	body, err := json.Marshal(b.members)
+	if err != nil {
+		return eris.Wrap(err, "testbed: VM list")
+	}
+	return put("http://"+b.VMs.Address("")+"/admin/vms", body)
+}
+
+// AwaitReady waits until every given daemon is ready.
+func (b *Bed) AwaitReady(ctx context.Context, daemons ...*Process) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, p := range daemons {
+		group.Go(func() error { return awaitReady(ctx, p) })
+	}
+	return group.Wait()
+}
+
+func awaitReady(ctx context.Context, p *Process) error {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		response, err := http.Get("http://" + p.Address("admin") + "/readyz")
+		if err == nil {
+			_ = response.Body.Close() // only the status counts
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Errorf("testbed: %s is not ready, see its log", p.Name)
+		case <-ticker.C:
+		}
+	}
+}
+
+func put(url string, body []byte) error {
+	request, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "testbed: request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "testbed: stand-in")
+	}
+	defer func() { _ = response.Body.Close() }() // only the status counts
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return eris.Errorf("testbed: %s answered %s", url, response.Status)
+	}
+	return nil
+}
