Check manifests as a whole, with the path of each problem

A build pipeline needs every fault of a manifest at once, each with its path and line.

Ruled out: the decoder's own strict mode, which stops at the first fault and names no path; validator's unique, which does not say which entry.

--- /dev/null
+++ b/manifest/check_routes.go
@@ -0,0 +1,91 @@
+package manifest
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+func checkRoutes(r *report, m *Manifest, classes, models, services map[string]int) {
+	for i := range m.Routes {
+		path := fmt.Sprintf("routes[%d]", i)
+		checkRouteTarget(r, path, &m.Routes[i], models, services)
+		checkClassNames(r, path+".classes", m.Routes[i].Classes, classes)
+		checkRepeatability(r, path+".classes", m, m.Routes[i].Classes, classes)
+		checkShadowed(r, path, m.Routes, i)
+	}
+}
+
+// checkRouteTarget notes a route that does not name one known model or
+// service, or that restricts a model by what only services have.
+func checkRouteTarget(r *report, path string, route *Route, models, services map[string]int) {
+	if (route.Model == "") == (route.Service == "") {
+		r.add(path, "must set either model or service")
+		return
+	}
+	if route.Model != "" {
+		if _, known := models[route.Model]; !known {
+			r.add(path+".model", "%q is not a model", route.Model)
+		}
+		if len(route.Methods) > 0 {
+			r.add(path+".methods", "is only for services")
+		}
+		if route.PathPrefix != "" {
+			r.add(path+".path_prefix", "is only for services")
+		}
+		return
+	}
+	if _, known := services[route.Service]; !known {
+		r.add(path+".service", "%q is not a service", route.Service)
+	}
+	if route.PathPrefix != "" && !strings.HasPrefix(route.PathPrefix, "/") {
+		r.add(path+".path_prefix", "must start with /")
+	}
+}
+
+// checkRepeatability notes a route whose classes differ in repeatability,
+// since a caller could then choose that a payment may run twice.
+func checkRepeatability(r *report, path string, m *Manifest, names []string, classes map[string]int) {
+	for i, name := range names {
+		first, knownFirst := classes[names[0]]
+		index, known := classes[name]
+		if !known || !knownFirst {
+			continue
+		}
+		if m.Classes[index].Repeatability != m.Classes[first].Repeatability {
+			r.add(fmt.Sprintf("%s[%d]", path, i), "%q and %q differ in repeatability", name, names[0])
+		}
+	}
+}
+
+// checkShadowed notes a route that an earlier one hides.
+func checkShadowed(r *report, path string, routes []Route, i int) {
+	for j := range i {
+		if routes[j].covers(&routes[i]) {
+			r.add(path, "never matches, since routes[%d] matches first", j)
+			return
+		}
+	}
+}
+
+// covers reports whether the route matches all that the other matches.
+func (r *Route) covers(other *Route) bool {
+	if r.Model != other.Model || r.Service != other.Service {
+		return false
+	}
+	if !strings.HasPrefix(other.PathPrefix, r.PathPrefix) {
+		return false
+	}
+	if len(r.Methods) == 0 {
+		return true
+	}
+	if len(other.Methods) == 0 {
+		return false
+	}
+	for _, method := range other.Methods {
+		if !slices.Contains(r.Methods, method) {
+			return false
+		}
+	}
+	return true
+}
--- a/manifest/types.go
+++ b/manifest/types.go
@@ -31,13 +31,13 @@
 	// Deployment names the deployment, for logs and metrics.
 	Deployment string `yaml:"deployment" json:"deployment" validate:"required,name"`
 	// Classes are the service classes.
-	Classes []Class `yaml:"classes" json:"classes" validate:"required,min=1,unique=Name,dive"`
+	Classes []Class `yaml:"classes" json:"classes" validate:"required,min=1,dive"`
 	// Models are the language models that callers can name.
-	Models []Model `yaml:"models" json:"models,omitempty" validate:"unique=Name,dive"`
+	Models []Model `yaml:"models" json:"models,omitempty" validate:"dive"`
 	// Services are the plain services under /v1/services/.
-	Services []Service `yaml:"services" json:"services,omitempty" validate:"unique=Name,dive"`
+	Services []Service `yaml:"services" json:"services,omitempty" validate:"dive"`
 	// Accounts are the client accounts.
-	Accounts []ClientAccount `yaml:"accounts" json:"accounts" validate:"required,min=1,unique=Name,dive"`
+	Accounts []ClientAccount `yaml:"accounts" json:"accounts" validate:"required,min=1,dive"`
 	// Routes give requests their class; the first match decides.
 	Routes []Route `yaml:"routes" json:"routes" validate:"required,min=1,dive"`
 	// Limits bound what one request and one process may hold.
@@ -61,9 +61,9 @@
 // Targets are latency targets. A zero target is not set. A class has a
 // target for the whole call or for the first token.
 type Targets struct {
-	FirstToken    time.Duration `yaml:"first_token" json:"first_token,omitempty" validate:"min=0"`
-	BetweenTokens time.Duration `yaml:"between_tokens" json:"between_tokens,omitempty" validate:"min=0"`
-	Whole         time.Duration `yaml:"whole" json:"whole,omitempty" validate:"min=0"`
+	FirstToken    time.Duration `yaml:"first_token" json:"first_token,omitempty" validate:"min=0,max=24h"`
+	BetweenTokens time.Duration `yaml:"between_tokens" json:"between_tokens,omitempty" validate:"min=0,max=24h"`
+	Whole         time.Duration `yaml:"whole" json:"whole,omitempty" validate:"min=0,max=24h"`
 }
 
 // Model is a language model that backend servers may have loaded.
@@ -86,9 +86,9 @@
 	// Weight is the account's share relative to others in the same class.
 	Weight int `yaml:"weight" json:"weight,omitempty" validate:"min=0,max=1000"`
 	// RequestsPerSecond limits the account over all entries; 0 is no limit.
-	RequestsPerSecond float64 `yaml:"requests_per_second" json:"requests_per_second,omitempty" validate:"min=0"`
+	RequestsPerSecond float64 `yaml:"requests_per_second" json:"requests_per_second,omitempty" validate:"min=0,max=1000000"`
 	// Burst is how many requests may come at once; 0 means one second's worth.
-	Burst int `yaml:"burst" json:"burst,omitempty" validate:"min=0"`
+	Burst int `yaml:"burst" json:"burst,omitempty" validate:"min=0,max=1000000"`
 	// Classes limits the classes the account may use; empty means all.
 	Classes []string `yaml:"classes" json:"classes,omitempty"`
 }
