Add the manifest's JSON Schema and the difference of two manifests

Reviewers need to see what a version changes in force: Diff compares by name, with defaults as if written, and says what each change means for requests.

--- /dev/null
+++ b/manifest/diff_test.go
@@ -0,0 +1,66 @@
+package manifest
+
+import (
+	"strings"
+	"testing"
+)
+
+func mustParse(t *testing.T, document string) *Manifest {
+	t.Helper()
+	m, err := Parse([]byte(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func TestDiff(t *testing.T) {
+	older := mustParse(t, valid)
+	if got := Diff(older, older); got != nil {
+		t.Errorf("a manifest differs from itself: %+v", got)
+	}
+	written := strings.Replace(valid, "key_validity: 5m", "key_validity: 5m, queue_per_agent: 256", 1)
+	if got := Diff(older, mustParse(t, written)); got != nil {
+		t.Errorf("a default that is written counts as a change: %+v", got)
+	}
+	newer := mustParse(t, strings.NewReplacer(
+		"version: 3", "version: 4",
+		"tier: 2", "tier: 3",
+		"    floor: 0.1\n", "",
+		"name: other", "name: third",
+		"key_validity: 5m", "key_validity: 6m",
+		"path_prefix: /payments, ", "",
+	).Replace(valid))
+	want := []string{
+		"changed version 3 4",
+		"changed classes[chat].tier 2 3",
+		"added accounts[third] present",
+		"changed limits.key_validity 5m0s 6m0s",
+		"removed classes[chat].floor 0.1",
+		"removed accounts[other] present",
+		"removed routes[booking POST /payments] present",
+		"added routes[booking POST ] present",
+	}
+	got := make(map[string]bool)
+	for _, c := range Diff(older, newer) {
+		got[strings.Join(strings.Fields(string(c.Kind)+" "+c.Path+" "+c.Old+" "+c.New), " ")] = true
+		if c.Effect == "" {
+			t.Errorf("%s: no effect", c.Path)
+		}
+	}
+	for _, line := range want {
+		if !got[strings.Join(strings.Fields(line), " ")] {
+			t.Errorf("missing: %s\nin %v", line, got)
+		}
+	}
+}
+
+func TestDiffSeesTheOrderOfRoutes(t *testing.T) {
+	older := mustParse(t, valid)
+	newer := mustParse(t, valid)
+	newer.Routes[0], newer.Routes[1] = newer.Routes[1], newer.Routes[0]
+	changes := Diff(older, newer)
+	if len(changes) != 1 || changes[0].Path != "routes" {
+		t.Errorf("got %+v", changes)
+	}
+}
--- /dev/null
+++ b/manifest/schemagen/schemagen.go
@@ -0,0 +1,131 @@
+// Package schemagen generates the JSON Schema of the manifest from the Go
+// types, their validate tags and their comments. The result is committed as
+// manifest/schema.json, so that only this package needs the generator.
+package schemagen
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/invopop/jsonschema"
+	"github.com/rotisserie/eris"
+
+	"github.com/sesameswitch/sesameswitch/manifest"
+	"github.com/sesameswitch/sesameswitch/validation"
+)
+
+// ID names the schema.
+const ID = "urn:sesameswitch:schema:manifest"
+
+// module is the import path that the comments' keys start with.
+const module = "github.com/sesameswitch/sesameswitch"
+
+// durationPattern is what time.ParseDuration takes, without a sign.
+const durationPattern = `^([0-9]+(\.[0-9]+)?(ns|us|µs|ms|s|m|h))+$`
+
+// Generate returns the schema. Root is the folder of the module's source,
+// where the comments are read.
+func Generate(root string) ([]byte, error) {
+	reflector := &jsonschema.Reflector{Mapper: mapType}
+	if err := reflector.AddGoComments(module, root+"/manifest"); err != nil {
+		return nil, eris.Wrap(err, "read comments")
+	}
+	reflector.CommentMap = trimPaths(reflector.CommentMap)
+	schema := reflector.Reflect(&manifest.Manifest{})
+	schema.ID = ID
+	schema.Title = "sesameswitch manifest"
+	types := []any{
+		manifest.Manifest{}, manifest.Class{}, manifest.Targets{}, manifest.Model{},
+		manifest.Service{}, manifest.ClientAccount{}, manifest.Route{}, manifest.Limits{},
+	}
+	for _, sample := range types {
+		t := reflect.TypeOf(sample)
+		constrain(schema.Definitions[t.Name()], t)
+	}
+	document, err := json.MarshalIndent(schema, "", "  ")
+	if err != nil {
+		return nil, eris.Wrap(err, "encode schema")
+	}
+	return append(document, '\n'), nil
+}
+
+// trimPaths makes the keys of the comments start with the import path, on
+// whatever path the source lies.
+func trimPaths(comments map[string]string) map[string]string {
+	trimmed := make(map[string]string, len(comments))
+	for key, comment := range comments {
+		_, rest, _ := strings.Cut(key, "/manifest.")
+		trimmed[module+"/manifest."+rest] = comment
+	}
+	return trimmed
+}
+
+// mapType gives durations their form in a document.
+func mapType(t reflect.Type) *jsonschema.Schema {
+	if t != reflect.TypeFor[time.Duration]() {
+		return nil
+	}
+	return &jsonschema.Schema{Type: "string", Pattern: durationPattern, Examples: []any{"800ms", "10m"}}
+}
+
+// constrain adds what the validate tags of a struct say.
+func constrain(schema *jsonschema.Schema, t reflect.Type) {
+	for i := range t.NumField() {
+		field := t.Field(i)
+		property, ok := schema.Properties.Get(field.Tag.Get("yaml"))
+		if !ok || field.Type == reflect.TypeFor[time.Duration]() {
+			continue
+		}
+		own, inner, _ := strings.Cut(field.Tag.Get("validate"), "dive")
+		apply(property, own)
+		if property.Items != nil {
+			apply(property.Items, inner)
+		}
+	}
+}
+
+// apply adds the rules of one validate tag.
+func apply(schema *jsonschema.Schema, rules string) {
+	for _, rule := range strings.Split(rules, ",") {
+		tag, parameter, _ := strings.Cut(rule, "=")
+		switch tag {
+		case "min":
+			setMinimum(schema, parameter)
+		case "max":
+			schema.Maximum = json.Number(parameter)
+		case "len":
+			setLength(schema, parameter)
+		case "oneof":
+			setEnum(schema, strings.Fields(parameter))
+		case "name":
+			schema.Pattern = validation.NamePattern
+		case "hexadecimal":
+			schema.Pattern = "^[0-9a-f]*$"
+		}
+	}
+}
+
+func setMinimum(schema *jsonschema.Schema, parameter string) {
+	if schema.Type != "array" {
+		schema.Minimum = json.Number(parameter)
+		return
+	}
+	one := uint64(1)
+	schema.MinItems = &one
+}
+
+func setLength(schema *jsonschema.Schema, parameter string) {
+	var length uint64
+	if json.Unmarshal([]byte(parameter), &length) == nil {
+		schema.MinLength, schema.MaxLength = &length, &length
+	}
+}
+
+func setEnum(schema *jsonschema.Schema, values []string) {
+	schema.Enum = nil
+	for _, value := range values {
+		schema.Enum = append(schema.Enum, value)
+	}
+}
--- a/manifest/types.go
+++ b/manifest/types.go
@@ -41,7 +41,7 @@
 	// Routes give requests their class; the first match decides.
 	Routes []Route `yaml:"routes" json:"routes" validate:"required,min=1,dive"`
 	// Limits bound what one request and one process may hold.
-	Limits Limits `yaml:"limits" json:"limits"`
+	Limits Limits `yaml:"limits" json:"limits,omitzero"`
 }
 
 // Class is a service class: urgency, targets and repeatability.
