Draw the state charts from their files

The pictures need no outside program: SVG with states in columns by their distance from the initial one, and Mermaid in the page.

--- a/statechart/picture.go
+++ b/statechart/picture.go
@@ -37,3 +37,24 @@
 	}
 	return b.String()
 }
+
+// Markdown returns a page on the chart: the pictures and what each state and
+// event means.
+func (c *Chart) Markdown() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# State chart: %s\n\n%s\n\n![%s](%s.svg)\n\n", c.Name, c.Description, c.Name, c.Name)
+	b.WriteString("| state | meaning |\n|---|---|\n")
+	for _, s := range c.States {
+		name := s.Name
+		if s.Final {
+			name += " (final)"
+		}
+		fmt.Fprintf(&b, "| %s | %s |\n", name, s.Description)
+	}
+	b.WriteString("\n| event | meaning |\n|---|---|\n")
+	for _, e := range c.Events {
+		fmt.Fprintf(&b, "| %s | %s |\n", e.Name, e.Description)
+	}
+	fmt.Fprintf(&b, "\n```mermaid\n%s```\n\nGenerated from statechart/charts/%s.yaml by `sesamectl charts --dir docs/charts`.\n", c.Mermaid(), c.Name)
+	return b.String()
+}
--- /dev/null
+++ b/statechart/svg.go
@@ -0,0 +1,137 @@
+package statechart
+
+import (
+	"fmt"
+	"html"
+	"strings"
+)
+
+// Geometry of the picture, in pixels.
+const (
+	boxWidth     = 110
+	boxHeight    = 36
+	columnWidth  = 230
+	rowHeight    = 100
+	margin       = 40
+	loopHeight   = 34
+	detourHeight = 34
+	detourWidth  = 90
+)
+
+const svgHead = `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 %[1]d %[2]d" width="%[1]d" height="%[2]d" font-family="sans-serif" font-size="13">
+<title>%[3]s</title>
+<defs><marker id="arrow" viewBox="0 0 10 10" refX="9" refY="5" markerWidth="8" markerHeight="8" orient="auto"><path d="M0 0L10 5L0 10z"/></marker></defs>
+<rect width="100%%" height="100%%" fill="white"/>
+`
+
+// point is a place in the picture.
+type point struct{ x, y int }
+
+// SVG returns the chart as a picture: states by their distance from the
+// initial one, from left to right; final states have a double border.
+func (c *Chart) SVG() string {
+	places, size := c.layout()
+	var b strings.Builder
+	fmt.Fprintf(&b, svgHead, size.x, size.y, html.EscapeString(c.Description))
+	for _, edge := range c.edges() {
+		drawEdge(&b, places[edge.from], places[edge.to], strings.Join(edge.events, ", "))
+	}
+	for _, s := range c.States {
+		drawState(&b, places[s.Name], s)
+	}
+	start := places[c.Initial]
+	fmt.Fprintf(&b, "<circle cx=\"%d\" cy=\"%d\" r=\"6\"/>\n", start.x-boxWidth/2-22, start.y)
+	drawLine(&b, point{start.x - boxWidth/2 - 22, start.y}, point{start.x - boxWidth/2, start.y})
+	b.WriteString("</svg>\n")
+	return b.String()
+}
+
+// layout places the middle of each state's box.
+func (c *Chart) layout() (places map[string]point, size point) {
+	ranks := c.ranks()
+	filled := make(map[int]int)
+	places = make(map[string]point, len(c.States))
+	columns, rows := 0, 0
+	for _, s := range c.States {
+		column := ranks[s.Name]
+		row := filled[column]
+		filled[column]++
+		columns, rows = max(columns, column+1), max(rows, filled[column])
+		// Every other column sits lower, so that edges pass between boxes.
+		shift := column % 2 * rowHeight / 3
+		places[s.Name] = point{margin + 30 + boxWidth/2 + column*columnWidth, margin + loopHeight + boxHeight/2 + row*rowHeight + shift}
+	}
+	size = point{2*margin + 30 + boxWidth + (columns-1)*columnWidth, 2*margin + loopHeight + rows*rowHeight + rowHeight/3}
+	return places, size
+}
+
+// edge joins the transitions between the same two states.
+type edge struct {
+	from, to string
+	events   []string
+}
+
+func (c *Chart) edges() []edge {
+	index := make(map[[2]string]int)
+	var edges []edge
+	for _, t := range c.Transitions {
+		ends := [2]string{t.From, t.To}
+		i, found := index[ends]
+		if !found {
+			i = len(edges)
+			index[ends] = i
+			edges = append(edges, edge{from: t.From, to: t.To})
+		}
+		edges[i].events = append(edges[i].events, t.Event)
+	}
+	return edges
+}
+
+func drawState(b *strings.Builder, p point, s State) {
+	drawBox(b, p, 0)
+	if s.Final {
+		drawBox(b, p, 4)
+	}
+	fmt.Fprintf(b, "<text x=\"%d\" y=\"%d\" text-anchor=\"middle\">%s<title>%s</title></text>\n",
+		p.x, p.y+5, html.EscapeString(s.Name), html.EscapeString(s.Description))
+}
+
+func drawBox(b *strings.Builder, p point, inset int) {
+	fmt.Fprintf(b, "<rect x=\"%d\" y=\"%d\" width=\"%d\" height=\"%d\" rx=\"8\" fill=\"#eef3fa\" stroke=\"black\"/>\n",
+		p.x-boxWidth/2+inset, p.y-boxHeight/2+inset, boxWidth-2*inset, boxHeight-2*inset)
+}
+
+func drawLine(b *strings.Builder, from, to point) {
+	fmt.Fprintf(b, "<path d=\"M%d %dL%d %d\" fill=\"none\" stroke=\"black\" marker-end=\"url(#arrow)\"/>\n", from.x, from.y, to.x, to.y)
+}
+
+// drawEdge draws a curve from one box to another with its label.
+func drawEdge(b *strings.Builder, from, to point, label string) {
+	const half, wing = boxHeight / 2, boxWidth / 2
+	switch {
+	case from == to:
+		drawCurve(b, point{from.x - 18, from.y - half}, point{to.x + 18, to.y - half}, point{0, -loopHeight}, label)
+	case from.x == to.x && from.y-to.y > rowHeight:
+		drawCurve(b, point{from.x - wing, from.y}, point{to.x - wing, to.y}, point{-detourWidth, 0}, label)
+	case from.x == to.x && to.y-from.y > rowHeight:
+		drawCurve(b, point{from.x + wing, from.y}, point{to.x + wing, to.y}, point{detourWidth, 0}, label)
+	case from.x == to.x && from.y < to.y:
+		drawCurve(b, point{from.x + 8, from.y + half}, point{to.x + 8, to.y - half}, point{}, label)
+	case from.x == to.x:
+		drawCurve(b, point{from.x - 8, from.y - half}, point{to.x - 8, to.y + half}, point{}, label)
+	case from.x < to.x:
+		drawCurve(b, point{from.x + wing, from.y}, point{to.x - wing, to.y}, point{}, label)
+	default:
+		drawCurve(b, point{from.x - wing, from.y + 8}, point{to.x + wing, to.y + 8}, point{0, detourHeight}, label)
+	}
+}
+
+// drawCurve draws a curve with its label at the middle; bend moves the
+// curve's control point.
+func drawCurve(b *strings.Builder, from, to, bend point, label string) {
+	middle := point{(from.x+to.x)/2 + bend.x, (from.y+to.y)/2 + bend.y}
+	fmt.Fprintf(b, "<path d=\"M%d %dQ%d %d %d %d\" fill=\"none\" stroke=\"black\" marker-end=\"url(#arrow)\"/>\n",
+		from.x, from.y, middle.x, middle.y, to.x, to.y)
+	fmt.Fprintf(b, "<text x=\"%d\" y=\"%d\" text-anchor=\"middle\" paint-order=\"stroke\" stroke=\"white\" stroke-width=\"4\">%s</text>\n",
+		middle.x-bend.x/2, middle.y-bend.y/2-4, html.EscapeString(label))
+}
