Keep slots free for the top tier when it comes close to its deadline

Cause: at 1.5 to 3 times capacity all slots run long requests of lower tiers, which are never interrupted, and the top tier waits for one to end.

What changed: a guard keeps some slots free of lower tiers. Floors are served regardless.

--- a/admission/class.go
+++ b/admission/class.go
@@ -13,6 +13,8 @@
 	// credit is the claim to a start by the floor.
 	credit float64
 	queued int
+	// running is how many of the class hold a slot.
+	running int
 	// work is the expected slot time of the queued requests.
 	work time.Duration
 	// weight is the sum over the flows with requests queued.
--- a/admission/configure.go
+++ b/admission/configure.go
@@ -50,6 +50,7 @@
 	c := newClassQueue(class.Name, tier, q.cfg.Policy == PolicySesame)
 	if known != nil {
 		c.service = known.service
+		c.running = known.running
 	}
 	if known != nil && c.fair {
 		c.credit = known.credit
--- /dev/null
+++ b/admission/guard.go
@@ -0,0 +1,82 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// The guard keeps slots free of lower tiers, so that a request of the top tier
+// does not wait for a long run of a lower one to end. Runs are never
+// interrupted. It grows when requests of the top tier come close to their
+// deadline while lower tiers run, and shrinks otherwise, so it settles where
+// closeShare of them come close.
+const (
+	topTier = 1
+	// closeRatio is the part of the time to start beyond which a start counts
+	// as close.
+	closeRatio = 0.8
+	closeShare = 0.0025
+	// guardStep is what one close start adds, in slots.
+	guardStep = 0.25
+	// guardHalfLife is how fast the guard shrinks by itself.
+	guardHalfLife = time.Minute
+	// maxGuarded bounds the share of slots that is kept free.
+	maxGuarded = 0.5
+)
+
+// guard is the number of slots that are kept free, with its fraction.
+type guard struct {
+	slots float64
+	at    time.Time
+}
+
+// observe takes in how long a request of the top tier waited of the time that
+// it had.
+func (g *guard) observe(waited, had time.Duration, lowerRuns bool, limit float64) {
+	if had <= 0 {
+		return
+	}
+	if float64(waited) <= closeRatio*float64(had) {
+		g.slots = max(0, g.slots-guardStep*closeShare)
+		return
+	}
+	if lowerRuns {
+		g.slots = min(limit, g.slots+guardStep)
+	}
+}
+
+// decay shrinks the guard by the time since the last call.
+func (g *guard) decay(now time.Time) {
+	if g.at.IsZero() {
+		g.at = now
+	}
+	elapsed := now.Sub(g.at)
+	if elapsed < guardHalfLife/60 {
+		return
+	}
+	g.at = now
+	g.slots *= math.Exp2(-float64(elapsed) / float64(guardHalfLife))
+}
+
+// guardLimit is the most slots that are kept free.
+func (q *Queue) guardLimit() float64 { return math.Floor(maxGuarded * float64(q.cfg.Slots)) }
+
+// guarded reports whether the free slots are kept for a higher tier.
+func (q *Queue) guarded(c *classQueue) bool {
+	if q.cfg.Policy != PolicySesame || c.tier == topTier {
+		return false
+	}
+	return q.cfg.Slots-q.running <= int(q.guard.slots+0.5)
+}
+
+// observeWait tells the guard how long a request of the top tier waited.
+func (q *Queue) observeWait(now time.Time, r *Request) {
+	if r.place.class.tier != topTier || r.StartBy.IsZero() {
+		return
+	}
+	lowerRuns := false
+	for _, c := range q.classes {
+		lowerRuns = lowerRuns || c.tier > topTier && c.running > 0
+	}
+	q.guard.observe(now.Sub(r.Arrived), r.StartBy.Sub(r.Arrived), lowerRuns, q.guardLimit())
+}
--- a/admission/overload_test.go
+++ b/admission/overload_test.go
@@ -231,6 +231,10 @@
 
 func compare(t *testing.T, load float64, runs map[Policy]*run) {
 	sesame := runs[PolicySesame]
+	top := sesame.tallies["reservation"]
+	if got := percent(top.inTime, top.offered); load < 3 && got < 99 {
+		t.Errorf("top tier: %.2f%% in time", got)
+	}
 	best := max(runs[PolicyFIFO].goodput(), runs[PolicyStrict].goodput())
 	ratio := float64(sesame.goodput()) / float64(best)
 	t.Logf("goodput ratio %.2f", ratio)
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -23,6 +23,7 @@
 	running     int
 	sequence    uint64
 	service     mean
+	guard       guard
 	byID        map[string]*Request
 	expiry      indexed[*Request]
 	states      []ClassState
@@ -179,26 +180,42 @@
 }
 
 // Next takes the request that runs next, for a caller that has a free slot
-// and has called Expire. It returns nil when nothing waits. The caller
-// reports the end of the run by Finished.
+// and has called Expire. It returns nil when nothing waits, or when the free
+// slots are kept for the top tier; then at least half of the slots are taken,
+// and the caller asks again after the next Finished or Offer. The caller
+// reports the end of each run by Finished.
 func (q *Queue) Next(now time.Time) (r *Request, via Via) {
-	c := q.byTier()
+	q.guard.decay(now)
+	c, via := q.choose()
 	if c == nil {
 		return nil, ViaNone
 	}
-	via = ViaTier
-	if due := q.byFloor(); due != nil && due != c {
-		c = due
-		via = ViaFloor
-	}
 	q.trace(Event{At: now, Action: ActionStart, Via: via, Request: c.head()})
+	q.observeWait(now, c.head())
 	q.accrue(c)
 	r = c.start()
 	q.untrack(r)
 	q.running++
+	c.running++
 	return r, via
 }
 
+// choose returns the class that starts next, or nil when nothing waits or the
+// free slots are kept for the top tier.
+func (q *Queue) choose() (*classQueue, Via) {
+	first := q.byTier()
+	if first == nil {
+		return nil, ViaNone
+	}
+	if due := q.byFloor(); due != nil && due != first {
+		return due, ViaFloor
+	}
+	if first.credit < claimDue && q.guarded(first) {
+		return nil, ViaNone
+	}
+	return first, ViaTier
+}
+
 // byTier returns the class of the highest tier with requests queued whose
 // head must start first.
 func (q *Queue) byTier() *classQueue {
@@ -256,6 +273,7 @@
 	for q.expiry.Len() > 0 && q.expiry.top().StartBy.Before(now) {
 		r := q.expiry.top()
 		q.trace(Event{At: now, Action: ActionExpire, Reason: outcome.ReasonDeadline, Request: r})
+		q.observeWait(now, r)
 		q.take(r)
 		expired = append(expired, r)
 	}
@@ -306,6 +324,7 @@
 	q.running = max(0, q.running-1)
 	q.service.add(took)
 	if c := q.classOf(class); c != nil {
+		c.running = max(0, c.running-1)
 		c.service.add(took)
 	}
 }
