--- /dev/null
+++ b/configsync/cluster_test.go
@@ -0,0 +1,163 @@
+package configsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/sesameswitch/sesameswitch/clock"
+	"github.com/sesameswitch/sesameswitch/configsync/memnet"
+	"github.com/sesameswitch/sesameswitch/membership"
+	"github.com/sesameswitch/sesameswitch/platform"
+)
+
+// replica is a stand-in for one replica of the configuration service. A watch
+// never waits: it answers unchanged at once.
+type replica struct {
+	doc   platform.Document
+	err   error
+	hang  bool
+	calls int
+}
+
+func (r *replica) Read(ctx context.Context) (platform.Document, error) {
+	r.calls++
+	if r.hang {
+		<-ctx.Done()
+		return platform.Document{}, ctx.Err()
+	}
+	return r.doc, r.err
+}
+
+func (r *replica) Watch(ctx context.Context, after uint64) (platform.Document, bool, error) {
+	doc, err := r.Read(ctx)
+	return doc, err == nil && doc.Revision != after, err
+}
+
+// publish replaces the document; the revision is the version.
+func (r *replica) publish(version uint64) {
+	r.doc = platform.Document{Revision: version, Body: document(version, "d")}
+}
+
+var errDown = errors.New("service is down")
+
+// node is one process of a cluster.
+type node struct {
+	vm     platform.VM
+	store  *Store
+	syncer *Syncer
+	// versions are the versions that came into force in this life.
+	versions []uint64
+}
+
+// cluster is a set of processes that move only when stepped.
+type cluster struct {
+	tb      testing.TB
+	clock   *clock.Manual
+	network *memnet.Network
+	vms     []platform.VM
+	nodes   []*node
+	// sources[i] is what node i reads.
+	sources []*replica
+	lives   uint64
+}
+
+func newCluster(tb testing.TB, size int) *cluster {
+	c := &cluster{tb: tb, clock: clock.NewManual(testStart), network: memnet.New()}
+	for i := range size {
+		c.vms = append(c.vms, platform.VM{
+			Name:       fmt.Sprintf("vm-%02d", i),
+			Address:    fmt.Sprintf("10.0.0.%d:1", i+1),
+			DataCentre: fmt.Sprintf("dc-%d", i%3),
+			Role:       platform.RoleAgent,
+			State:      platform.VMLive,
+		})
+	}
+	for i := range size {
+		c.nodes = append(c.nodes, nil)
+		c.sources = append(c.sources, &replica{err: errDown})
+		c.restart(i)
+	}
+	return c
+}
+
+// restart replaces node i by one that knows nothing.
+func (c *cluster) restart(i int) *node {
+	c.lives++
+	n := &node{vm: c.vms[i]}
+	table := membership.NewTable(n.vm, c.clock)
+	table.Apply(c.vms)
+	n.store = NewStore(c.clock, Hooks{Accepted: func(version uint64, _ Source) {
+		n.versions = append(n.versions, version)
+	}})
+	n.syncer = NewSyncer(SyncerConfig{
+		Store:   n.store,
+		Source:  c.sources[i],
+		Members: table,
+		Caller:  c.network.From(n.vm.Address),
+		Clock:   c.clock,
+		Rand:    rand.New(rand.NewPCG(c.lives, 7)),
+		Timing:  DefaultTiming(),
+	})
+	if err := c.network.Listen(n.vm.Address, map[string]any{ServiceName: n.syncer.Service()}); err != nil {
+		c.tb.Fatal(err)
+	}
+	c.nodes[i] = n
+	return n
+}
+
+// round steps every node once: a watch, the hints heard, announcements, a
+// repair. The clock moves by the repair interval.
+func (c *cluster) round() {
+	c.clock.Advance(DefaultTiming().RepairInterval)
+	for _, n := range c.nodes {
+		n.syncer.step(c.tb.Context())
+	}
+}
+
+func (s *Syncer) step(ctx context.Context) {
+	s.watchOnce(ctx)
+	s.repair(ctx)
+	for {
+		select {
+		case h := <-s.hints:
+			s.follow(ctx, h)
+		case <-s.announcing:
+			s.announce(ctx)
+		default:
+			return
+		}
+	}
+}
+
+// versions returns the version in force at each node.
+func (c *cluster) versions() []uint64 {
+	var list []uint64
+	for _, n := range c.nodes {
+		list = append(list, n.store.Version())
+	}
+	return list
+}
+
+// allAt reports whether every node has the version in force.
+func (c *cluster) allAt(version uint64) bool {
+	for _, n := range c.nodes {
+		if n.store.Version() != version {
+			return false
+		}
+	}
+	return true
+}
+
+// cutOff cuts all links between two groups of nodes, by number.
+func (c *cluster) cutOff(inside func(i int) bool) {
+	for i, a := range c.vms {
+		for j, b := range c.vms {
+			if inside(i) != inside(j) {
+				c.network.Cut(a.Address, b.Address)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/configsync/store_test.go
@@ -0,0 +1,101 @@
+package configsync
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sesameswitch/sesameswitch/clock"
+	"github.com/sesameswitch/sesameswitch/manifest"
+)
+
+var testStart = time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
+
+// document returns a valid manifest of a version; the name tells documents of
+// the same version apart.
+func document(version uint64, name string) []byte {
+	return fmt.Appendf(nil, `version: %d
+deployment: %s
+classes:
+  - {name: lookup, tier: 3, repeatability: idempotent, targets: {whole: 1s}}
+models:
+  - {name: small, max_tokens: 100}
+routes:
+  - {model: small, classes: [lookup]}
+accounts:
+  - {name: school, key_hashes: [%x]}
+`, version, name, sha256.Sum256([]byte("key")))
+}
+
+func TestStoreVerdicts(t *testing.T) {
+	whole := document(9, "d")
+	half := whole[:len(whole)-10]
+	oversize := append(document(9, "d"), bytes.Repeat([]byte("#"), manifest.MaxDocumentBytes)...)
+	steps := []struct {
+		name    string
+		body    []byte
+		want    Verdict
+		version uint64
+	}{
+		{"first", document(5, "d"), Accepted, 5},
+		{"newer", document(7, "d"), Accepted, 7},
+		{"stale replica", document(5, "d"), Older, 7},
+		{"same again", document(7, "d"), Same, 7},
+		{"second operator, same version", document(7, "e"), Conflict, 7},
+		{"garbage", []byte("\x00\xff{]"), Invalid, 7},
+		{"garbage again", []byte("\x00\xff{]"), Invalid, 7},
+		{"empty", nil, Invalid, 7},
+		{"half", half, Invalid, 7},
+		{"over a megabyte", oversize, Invalid, 7},
+		{"invalid between two valid", []byte(strings.Replace(string(document(8, "d")), "tier", "tear", 1)), Invalid, 7},
+		{"valid after invalid", document(9, "d"), Accepted, 9},
+	}
+	var accepted []uint64
+	refused := map[Verdict]int{}
+	store := NewStore(clock.NewManual(testStart), Hooks{
+		Accepted: func(version uint64, _ Source) { accepted = append(accepted, version) },
+		Refused:  func(v Verdict, _ Source, _ error) { refused[v]++ },
+	})
+	for _, step := range steps {
+		got, err := store.Offer(step.body, SourceService)
+		if got != step.want || store.Version() != step.version {
+			t.Fatalf("%s: verdict %v, version %d, want %v, %d", step.name, got, store.Version(), step.want, step.version)
+		}
+		if refusal := got != Accepted && got != Same; refusal != (err != nil) {
+			t.Fatalf("%s: verdict %v with error %v", step.name, got, err)
+		}
+	}
+	if fmt.Sprint(accepted) != "[5 7 9]" {
+		t.Fatalf("accepted %v", accepted)
+	}
+	if refused[Older] != 1 || refused[Conflict] != 1 || refused[Invalid] != 6 {
+		t.Fatalf("refused %v", refused)
+	}
+}
+
+func TestStoreChanged(t *testing.T) {
+	store := NewStore(clock.NewManual(testStart), Hooks{})
+	if store.Current() != nil || store.Document() != nil {
+		t.Fatal("an empty store shows a document")
+	}
+	first := store.Changed()
+	if _, err := store.Offer(document(1, "d"), SourceService); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-first:
+	default:
+		t.Fatal("the change was not signalled")
+	}
+	select {
+	case <-store.Changed():
+		t.Fatal("a change was signalled that did not happen")
+	default:
+	}
+	if !bytes.Equal(store.Document(), document(1, "d")) {
+		t.Fatal("the document differs from the accepted one")
+	}
+}
