--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,7 +50,6 @@
 		state:    agentapi.StateStarting,
 		running:  map[string]*run{},
 	}
-	s.idle.Store(true)
 	s.publish(deps.Clock.Now())
 	return s
 }
@@ -177,7 +174,7 @@
 // seal refuses a key for good unless it was accepted before.
 func (s *scheduler) seal(now time.Time, args *agentapi.SubmitArgs) agentapi.SubmitReply {
 	refusal := outcome.Refuse(args.Refuse, "refused by the entry").After(time.Second)
-	verdict, _, refusal := s.table.Seal(now, args.ID, args.Account, refusal)
+	verdict, _, refusal := s.table.Seal(now, args.ID, args.Account, args.BodySum, refusal)
 	if verdict == idempotency.Joined {
 		return agentapi.SubmitReply{Accepted: true, Joined: true, Status: *s.status.Load()}
 	}
@@ -205,7 +202,7 @@
 	}
 	r.fire("queue")
 	s.runs.Store(r.args.ID, r)
-	s.deps.Timeline.Record(timeline.KindRunQueued, r.args.RequestID, r.args.Class)
+	s.deps.Timeline.Record(timeline.RunQueued, r.args.RequestID, r.args.Class)
 	return agentapi.SubmitReply{Accepted: true, Status: *s.status.Load()}
 }
 
@@ -228,9 +225,9 @@
 func (s *scheduler) refuse(now time.Time, r *run, refusal *outcome.Refusal) {
 	r.refuse(now, refusal)
 	s.meters.refused(refusal.Reason)
-	s.deps.Timeline.Record(timeline.KindRunShed, r.args.RequestID, string(refusal.Reason))
+	s.deps.Timeline.Record(timeline.RunShed, r.args.RequestID, string(refusal.Reason))
 	if r.keyed {
-		s.table.Seal(now, r.args.ID, r.args.Account, refusal)
+		s.table.Seal(now, r.args.ID, r.args.Account, r.args.BodySum, refusal)
 		return
 	}
 	if _, ok := s.runs.Load(r.args.ID); ok {
@@ -239,7 +236,7 @@
 }
 
 func (s *scheduler) refused(args *agentapi.SubmitArgs, refusal *outcome.Refusal) agentapi.SubmitReply {
-	s.deps.Timeline.Record(timeline.KindAttemptRefused, args.RequestID, string(refusal.Reason))
+	s.deps.Timeline.Record(timeline.AttemptRefused, args.RequestID, string(refusal.Reason))
 	return agentapi.SubmitReply{Refusal: refusal, Status: *s.status.Load()}
 }
 
@@ -273,7 +270,7 @@
 	r.cancel = cancel
 	s.running[r.args.ID] = r
 	s.meters.started(r.args.Class, now.Sub(r.arrived))
-	s.deps.Timeline.Record(timeline.KindRunStarted, r.args.RequestID, "via "+via)
+	s.deps.Timeline.Record(timeline.RunStarted, r.args.RequestID, "via "+via)
 	go func() {
 		refusal := execute(runCtx, s.deps.BackendServer, r)
 		cancel()
@@ -296,7 +293,7 @@
 	}
 	r.answer.finish(refusal)
 	s.meters.finished(r.args.Class, now.Sub(r.started), refusal)
-	s.deps.Timeline.Record(timeline.KindRunFinished, r.args.RequestID, r.life.State())
+	s.deps.Timeline.Record(timeline.RunFinished, r.args.RequestID, r.life.State())
 	if !r.keyed {
 		s.ended = append(s.ended, r)
 	}
@@ -320,7 +317,7 @@
 		s.refuse(now, r, outcome.Refuse(outcome.ReasonCancelled, "the caller gave up"))
 		return
 	}
-	s.deps.Timeline.Record(timeline.KindRunCancelled, r.args.RequestID, "")
+	s.deps.Timeline.Record(timeline.RunCancelled, r.args.RequestID, "")
 	r.cancel()
 }
 
@@ -343,7 +340,7 @@
 		return
 	}
 	s.state = state
-	s.deps.Timeline.Record(timeline.KindProcessState, "", string(state))
+	s.deps.Timeline.Record(timeline.ProcessState, "", string(state))
 	s.deps.Log.WithField("state", state).Info("agent changed state")
 	if state != agentapi.StateLeaving {
 		return
@@ -429,23 +426,19 @@
 		status.WaitByTier = s.queue.WaitByTier(now, len(s.running))
 	}
 	s.status.Store(status)
-	s.idle.Store(status.Running == 0 && status.Queued == 0 && s.delivered())
-	s.meters.load(status)
-}
-
-// delivered reports whether no ended answer still waits for its reader.
-func (s *scheduler) delivered() bool {
-	for _, r := range s.ended {
-		if !r.delivered.Load() {
-			return false
-		}
+	if s.state == agentapi.StateLeaving {
+		s.idle.Store(status.Running == 0 && status.Queued == 0 && s.delivered(now))
 	}
-	return true
+	s.meters.load(status)
 }
 
-// newIncarnation names one life of an agent process.
-func newIncarnation(now time.Time, random uint64) agentapi.Incarnation {
-	return agentapi.Incarnation(strconv.FormatInt(now.UnixMilli(), 36) + "-" + strconv.FormatUint(random, 36))
+// delivered reports whether no answer still waits for its reader.
+func (s *scheduler) delivered(now time.Time) bool {
+	waiting := false
+	s.runs.Range(func(_, value any) bool {
+		r := value.(*run)
+		waiting = !r.delivered.Load() && r.unread(now) < readLease
+		return !waiting
+	})
+	return !waiting
 }
-
-var errStopped = errors.New("agent: stopped")
