Show both example deployments with one command

Cause: a newcomer needs to see requests go through all processes.

Found by it: a repeatable request waited 5.8 s for an agent that was killed before it went to another one, since it used the reconnect window of requests that run at most once. It now gives up on the agent after 300 ms.

Ruled out: failing over at the first failed read; one broken connection would then repeat work that the agent still does.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/bin
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
-COMMANDS := sesame-entry sesame-agent sesame-standin sesamectl
+COMMANDS := sesame-entry sesame-agent sesame-standin sesamectl sesame-demo sesame-prove
 
 .PHONY: help build lint format unit test demo clean
 
@@ -32,5 +32,10 @@
 
 test: lint build unit ## formatter, linter and all tests
 
+demo: build ## show both example deployments at work
+	@$(BIN)/sesame-demo
+
 clean: ## remove what was built
 	@rm -rf $(BIN)
+
+-include make/*.mk
--- a/cmd/sesame-agent/main.go
+++ b/cmd/sesame-agent/main.go
@@ -21,7 +21,7 @@
 // flags are the settings of an agent.
 type flags struct {
 	node.Settings
-	Listen      string   `default:"127.0.0.1:0" validate:"hostname_port" help:"Address for entries and other peers."`
+	Listen      string   `default:"127.0.0.1:0" validate:"tcp_addr" help:"Address for entries and other peers."`
 	BackendURL  string   `name:"backend-url" required:"" validate:"url" help:"Base URL of the backend server."`
 	BackendKind string   `default:"engine" validate:"oneof=engine service" help:"Kind of backend server: engine or service."`
 	Models      []string `help:"Models that the engine has loaded."`
--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -20,8 +20,8 @@
 // flags are the settings of an entry.
 type flags struct {
 	node.Settings
-	Listen     string `default:"127.0.0.1:8080" validate:"hostname_port" help:"Address for callers."`
-	PeerListen string `default:"127.0.0.1:0" validate:"hostname_port" help:"Address for other processes of the system."`
+	Listen     string `default:"127.0.0.1:8080" validate:"tcp_addr" help:"Address for callers."`
+	PeerListen string `default:"127.0.0.1:0" validate:"tcp_addr" help:"Address for other processes of the system."`
 	SubsetSize int    `default:"24" validate:"min=1,max=1000" help:"Agents that this entry keeps heartbeats with."`
 	Policy     string `default:"sesame" validate:"oneof=sesame round-robin least" help:"Choice of agent; round-robin and least are baselines for experiments."`
 }
--- a/entry/delivery.go
+++ b/entry/delivery.go
@@ -35,8 +35,8 @@
 // run reads until the answer is whole, the agent reports a failure, or the
 // agent is out of reach for longer than the reconnect window.
 func (d *delivery) run(ctx context.Context) *outcome.Refusal {
-	lastHeard := d.entry.deps.Clock.Now()
-	quietSince := lastHeard
+	quietSince := d.entry.deps.Clock.Now()
+	var lostAt time.Time
 	for {
 		reply, err := d.read(ctx, quietSince)
 		now := d.entry.deps.Clock.Now()
@@ -44,13 +44,16 @@
 			return outcome.Doubt(outcome.ReasonCancelled, "the caller gave up")
 		}
 		if err != nil {
-			if now.Sub(lastHeard) > reconnectWindow {
+			if lostAt.IsZero() {
+				lostAt = now
+			}
+			if now.Sub(lostAt) > d.reconnectWindow() {
 				return outcome.Doubt(outcome.ReasonConnection, "the agent that has the answer cannot be reached")
 			}
 			pause(ctx, reconnectPause)
 			continue
 		}
-		lastHeard = now
+		lostAt = time.Time{}
 		if !reply.Known {
 			return outcome.Doubt(outcome.ReasonConnection, "the agent lost the answer")
 		}
@@ -77,6 +80,14 @@
 	return d.req.patience()
 }
 
+// reconnectWindow is how long the agent may be out of reach.
+func (d *delivery) reconnectWindow() time.Duration {
+	if d.req.keyed() {
+		return reconnectWindow
+	}
+	return failoverWindow
+}
+
 // read asks for the next part, waiting no longer than the patience allows.
 func (d *delivery) read(ctx context.Context, quietSince time.Time) (*agentapi.ReadReply, error) {
 	left := d.patience() - d.entry.since(quietSince)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,8 +43,11 @@
 	// readBytes bounds the data of one read.
 	readBytes = 64 << 10
 	// reconnectWindow is how long an entry tries to reach an agent again that
-	// holds an answer.
+	// holds the answer of a request that runs at most once.
 	reconnectWindow = 5 * time.Second
+	// failoverWindow is the same for a repeatable request, which another agent
+	// can run instead.
+	failoverWindow = 300 * time.Millisecond
 	// reconnectPause is the time between two such tries.
 	reconnectPause = 100 * time.Millisecond
 	// stallTimeout gives up an attempt whose answer stops in the middle.
