Add sesamectl: check, diff, status, timeline, charts and schema

Operators and pipelines need to check a manifest, see what a version changes, and see state and events of all processes. The commands are a library (ctl) with a thin program; a golden test holds the output of each. Exit codes: 0 all is well, 1 a fault was found, 2 not done.

A manifest's values of another type are taken as zero after they are noted, so that the other problems show in the same run.

Processes are shown in the order in which they are named: sorted by address, the golden output hung on the ports that the test got.

--- /dev/null
+++ b/cmd/sesamectl/main_test.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/sesameswitch/sesameswitch/clock"
+	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/processstatus"
+	"github.com/sesameswitch/sesameswitch/timeline"
+)
+
+// newAgent serves the admin paths of an agent that ran req-1 and req-2.
+func newAgent(t *testing.T) *httptest.Server {
+	process := timeline.Process{VM: "lis-2-booking-1", Role: "agent", DataCentre: "lis-2", Incarnation: "a1"}
+	c := clock.NewManual(time.Date(2026, 12, 1, 9, 0, 0, int(400*time.Microsecond), time.UTC))
+	events := timeline.New(process, 16, c)
+	for _, id := range []string{"req-1", "req-2"} {
+		events.RecordWith(timeline.RunQueued, id, "", timeline.Attributes{Class: "reservation"})
+		c.Advance(time.Millisecond)
+		events.Record(timeline.RunStarted, id, "slot 1 of 4")
+		c.Advance(time.Millisecond)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(processstatus.PathTimeline, events.Handler())
+	mux.Handle(processstatus.PathStatus, processstatus.Handler(func() processstatus.Document {
+		return processstatus.Document{
+			Process: process, State: "serving", ConfigVersion: 12,
+			Load:     processstatus.Load{Slots: 4, Running: 2, Queued: 1},
+			Counters: map[string]int64{`sesame_runs_total{outcome="completed"}`: 31, "sesame_config_refused_total": 1},
+		}
+	}))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server
+}
+
+func TestCommands(t *testing.T) {
+	agent := newAgent(t)
+	gone := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(gone.Close)
+	const lumiar, atlas = "../../examples/lumiar.yaml", "../../examples/atlas.yaml"
+	cases := []struct {
+		name string
+		args []string
+		code int
+	}{
+		{"check", []string{"check", lumiar, atlas}, 0},
+		{"check_invalid", []string{"check", lumiar, "testdata/invalid.yaml"}, 1},
+		{"check_json", []string{"check", "testdata/invalid.yaml", lumiar, "--output=json"}, 1},
+		{"check_missing", []string{"check", "testdata/nothing.yaml"}, 2},
+		{"diff", []string{"diff", lumiar, "testdata/newer.yaml"}, 0},
+		{"diff_backwards", []string{"diff", "testdata/newer.yaml", lumiar}, 1},
+		{"diff_same", []string{"diff", lumiar, lumiar}, 0},
+		{"diff_invalid", []string{"diff", lumiar, "testdata/invalid.yaml"}, 1},
+		{"diff_json", []string{"diff", lumiar, "testdata/newer.yaml", "-o", "json"}, 0},
+		{"status", []string{"status", "--process", agent.URL, "--counters"}, 0},
+		{"status_silent", []string{"status", "--process", agent.URL, "--process", gone.URL}, 1},
+		{"status_json", []string{"status", "--process", agent.URL, "--output=json"}, 0},
+		{"status_nothing", []string{"status"}, 2},
+		{"timeline", []string{"timeline", "--process", agent.URL, "--file", "testdata/events.jsonl"}, 0},
+		{"timeline_request", []string{"timeline", "--process", agent.URL, "--file", "testdata/events.jsonl", "--request=req-1"}, 0},
+		{"timeline_json", []string{"timeline", "--process", agent.URL, "--request=req-2", "--output=json"}, 0},
+		{"timeline_silent", []string{"timeline", "--process", gone.URL, "--file", "testdata/events.jsonl"}, 1},
+		{"charts", []string{"charts", "process"}, 0},
+		{"charts_dot", []string{"charts", "process", "--picture=dot"}, 0},
+		{"charts_json", []string{"charts", "configuration", "--output=json"}, 0},
+		{"charts_unknown", []string{"charts", "nothing"}, 2},
+		{"schema", []string{"schema"}, 0},
+		{"help", []string{"--help"}, 0},
+		{"usage", []string{"check"}, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var out bytes.Buffer
+			code := run(context.Background(), c.args, &out, &out)
+			if code != c.code {
+				t.Errorf("exit code %d, want %d", code, c.code)
+			}
+			text := strings.NewReplacer(agent.URL, "http://AGENT", gone.URL, "http://GONE").Replace(out.String())
+			goldie.New(t, goldie.WithFixtureDir("testdata/golden")).Assert(t, c.name, []byte(text))
+		})
+	}
+}
+
+// TestProcessesOfTheVMList asks the admin port of each VM on the list.
+func TestProcessesOfTheVMList(t *testing.T) {
+	agent := newAgent(t)
+	host, port, _ := strings.Cut(strings.TrimPrefix(agent.URL, "http://"), ":")
+	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`[{"name":"lis-2-booking-1","address":"` + host + `:9","role":"` + string(platform.RoleAgent) + `","state":"live"}]`))
+	}))
+	t.Cleanup(list.Close)
+	var out bytes.Buffer
+	code := run(context.Background(), []string{"status", "--vm-list", list.URL, "--admin-port", port}, &out, &out)
+	if code != 0 || !strings.Contains(out.String(), "lis-2-booking-1") {
+		t.Errorf("exit code %d\n%s", code, out.String())
+	}
+}
+
+// stopAfter ends the context once a number of lines were written.
+type stopAfter struct {
+	bytes.Buffer
+	lines int
+	stop  context.CancelFunc
+}
+
+func (s *stopAfter) Write(p []byte) (int, error) {
+	n, err := s.Buffer.Write(p)
+	if bytes.Count(s.Bytes(), []byte("\n")) >= s.lines {
+		s.stop()
+	}
+	return n, err
+}
+
+func TestTimelineFollows(t *testing.T) {
+	agent := newAgent(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	out := &stopAfter{lines: 4, stop: cancel}
+	var errs bytes.Buffer
+	if code := run(ctx, []string{"timeline", "--follow", "--process", agent.URL}, out, &errs); code != 0 {
+		t.Fatalf("exit code %d: %s", code, errs.String())
+	}
+	if got := strings.Count(out.String(), "run_started"); got != 2 {
+		t.Errorf("%d starts in\n%s", got, out.String())
+	}
+}
--- /dev/null
+++ b/ctl/status.go
@@ -0,0 +1,117 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesameswitch/sesameswitch/processstatus"
+)
+
+// Status shows the state of processes.
+type Status struct {
+	Processes `embed:""`
+	Counters  bool `help:"Show each process's counters too (text; JSON always has them)."`
+}
+
+// statusResult is the status of one process, or why there is none.
+type statusResult struct {
+	Address string                  `json:"address"`
+	Status  *processstatus.Document `json:"status,omitempty"`
+	Error   string                  `json:"error,omitempty"`
+}
+
+// Run asks every process at once and prints a line for each. A process that
+// does not answer is a fault.
+func (s *Status) Run(ctx context.Context, out *Output) error {
+	urls, err := s.urls(ctx)
+	if err != nil {
+		return err
+	}
+	if len(urls) == 0 {
+		return eris.New("no process to ask: name some by --process or --vm-list")
+	}
+	results := askAll(ctx, urls)
+	if err := s.write(out, results); err != nil {
+		return err
+	}
+	silent := func(r statusResult) bool { return r.Status == nil }
+	if slices.ContainsFunc(results, silent) {
+		return &Fault{}
+	}
+	return nil
+}
+
+func askAll(ctx context.Context, urls []string) []statusResult {
+	results := make([]statusResult, len(urls))
+	var group errgroup.Group
+	group.SetLimit(parallelQuestions)
+	for i, url := range urls {
+		group.Go(func() error {
+			results[i] = ask(ctx, url)
+			return nil
+		})
+	}
+	_ = group.Wait() // no question returns an error
+	return results
+}
+
+func ask(ctx context.Context, url string) statusResult {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	answer, err := get(ctx, url+processstatus.PathStatus)
+	if err != nil {
+		return statusResult{Address: url, Error: err.Error()}
+	}
+	defer answer.Body.Close()
+	var document processstatus.Document
+	if err := json.NewDecoder(answer.Body).Decode(&document); err != nil {
+		return statusResult{Address: url, Error: err.Error()}
+	}
+	return statusResult{Address: url, Status: &document}
+}
+
+func (s *Status) write(out *Output, results []statusResult) error {
+	if out.Format == FormatJSON {
+		return out.json(results)
+	}
+	rows := [][]string{{"VM", "ROLE", "DATA CENTRE", "STATE", "CONFIG", "RUNNING", "SLOTS", "QUEUED", "ADDRESS"}}
+	for _, r := range results {
+		rows = append(rows, statusRow(r))
+	}
+	if err := out.table(rows); err != nil {
+		return err
+	}
+	for _, r := range results {
+		if r.Error != "" {
+			out.printf("%s: %s\n", r.Address, r.Error)
+		}
+		if s.Counters && r.Status != nil {
+			writeCounters(out, r.Status)
+		}
+	}
+	return nil
+}
+
+func statusRow(r statusResult) []string {
+	if r.Status == nil {
+		return []string{"-", "-", "-", "no answer", "-", "-", "-", "-", r.Address}
+	}
+	p, load := r.Status.Process, r.Status.Load
+	return []string{
+		p.VM, p.Role, p.DataCentre, r.Status.State, strconv.FormatUint(r.Status.ConfigVersion, 10),
+		strconv.Itoa(load.Running), strconv.Itoa(load.Slots), strconv.Itoa(load.Queued), r.Address,
+	}
+}
+
+func writeCounters(out *Output, document *processstatus.Document) {
+	out.printf("\n%s:\n", document.Process.VM)
+	for _, name := range slices.Sorted(maps.Keys(document.Counters)) {
+		out.printf("  %s %d\n", name, document.Counters[name])
+	}
+}
--- a/manifest/diff.go
+++ b/manifest/diff.go
@@ -38,8 +38,11 @@
 	for _, path := range orderedPaths(before, after) {
 		was, had := before.values[path]
 		is, has := after.values[path]
-		if had && has && was == is {
-			continue
+		if had && has && (was == is || after.entries[path]) {
+			continue // an entry's fields speak for it
+		}
+		if had != has && within(path, before, after) {
+			continue // the entry speaks for its fields
 		}
 		change := Change{Kind: Changed, Path: path, Old: was, New: is}
 		switch {
@@ -66,10 +69,20 @@
 	return paths
 }
 
+// within reports whether the path is a field of an entry that only one of the
+// two has.
+func within(path string, before, after *flat) bool {
+	entry, field, _ := strings.Cut(path, "].")
+	entry += "]"
+	return field != "" && before.entries[entry] != after.entries[entry]
+}
+
 // flat is a manifest as text values by path.
 type flat struct {
 	paths  []string
 	values map[string]string
+	// entries are the paths of named entries; their value sums up all fields.
+	entries map[string]bool
 }
 
 func (f *flat) set(path, value string) {
@@ -77,8 +90,17 @@
 	f.values[path] = value
 }
 
+// summary joins the values of fields.
+func (f *flat) summary(prefix string, paths []string) string {
+	fields := make([]string, 0, len(paths))
+	for _, path := range paths {
+		fields = append(fields, strings.TrimPrefix(path, prefix)+"="+f.values[path])
+	}
+	return strings.Join(fields, " ")
+}
+
 func flatten(m *Manifest) *flat {
-	f := &flat{values: make(map[string]string)}
+	f := &flat{values: make(map[string]string), entries: make(map[string]bool)}
 	f.set("version", fmt.Sprint(m.Version))
 	f.set("deployment", m.Deployment)
 	flattenEntries(f, "classes", m.Classes, func(c Class) string { return c.Name })
@@ -96,8 +118,11 @@
 func flattenEntries[T any](f *flat, path string, entries []T, name func(T) string) {
 	for _, entry := range entries {
 		inner := fmt.Sprintf("%s[%s]", path, name(entry))
-		f.set(inner, "present")
+		f.entries[inner] = true
+		f.set(inner, "")
+		first := len(f.paths)
 		flattenStruct(f, inner, reflect.ValueOf(entry))
+		f.values[inner] = f.summary(inner+".", f.paths[first:])
 	}
 }
 
--- a/manifest/diff_test.go
+++ b/manifest/diff_test.go
@@ -34,12 +34,12 @@
 	want := []string{
 		"changed version 3 4",
 		"changed classes[chat].tier 2 3",
-		"added accounts[third] present",
+		"added accounts[third] key_hashes=[" + strings.Repeat("b", 64) + "]",
 		"changed limits.key_validity 5m0s 6m0s",
 		"removed classes[chat].floor 0.1",
-		"removed accounts[other] present",
-		"removed routes[booking POST /payments] present",
-		"added routes[booking POST ] present",
+		"removed accounts[other] key_hashes=[" + strings.Repeat("b", 64) + "]",
+		"removed routes[booking POST /payments] service=booking methods=[POST] path_prefix=/payments classes=[pay]",
+		"added routes[booking POST ] service=booking methods=[POST] classes=[pay]",
 	}
 	got := make(map[string]bool)
 	for _, c := range Diff(older, newer) {
@@ -48,6 +48,9 @@
 			t.Errorf("%s: no effect", c.Path)
 		}
 	}
+	if len(got) != len(want)+1 { // and the order of routes
+		t.Errorf("%d changes: %v", len(got), got)
+	}
 	for _, line := range want {
 		if !got[strings.Join(strings.Fields(line), " ")] {
 			t.Errorf("missing: %s\nin %v", line, got)
--- a/manifest/error.go
+++ b/manifest/error.go
@@ -54,21 +54,35 @@
 	omitted  int
 	// lines maps the path of each field to its line.
 	lines map[string]int
+	// unread are the paths of values of another type, which are taken as zero.
+	unread []string
 }
 
 func newReport() *report {
 	return &report{lines: make(map[string]int)}
 }
 
-// add notes a problem of the field at path.
+// add notes a problem of the field at path, unless it may only come from a
+// value that was not read.
 func (r *report) add(path, format string, args ...any) {
 	if len(r.problems) == maxProblems {
 		r.omitted++
 		return
 	}
+	for _, unread := range r.unread {
+		if inside(path, unread) || inside(unread, path) {
+			return
+		}
+	}
 	r.problems = append(r.problems, Problem{Path: path, Line: r.line(path), Message: fmt.Sprintf(format, args...)})
 }
 
+// inside reports whether path is at or below outer.
+func inside(path, outer string) bool {
+	rest, below := strings.CutPrefix(path, outer)
+	return below && (outer == "" || rest == "" || rest[0] == '.' || rest[0] == '[')
+}
+
 // line returns the line of the field or of the nearest field around it.
 func (r *report) line(path string) int {
 	for {
--- a/manifest/parse.go
+++ b/manifest/parse.go
@@ -15,6 +15,9 @@
 // MaxDocumentBytes is the largest document that Parse reads.
 const MaxDocumentBytes = 1 << 20
 
+// maxTokens bounds the work and the memory that reading a document takes.
+const maxTokens = 200_000
+
 // maxDepth bounds the nesting of a document; a manifest needs five levels.
 const maxDepth = 16
 
@@ -29,7 +32,10 @@
 	if body == nil {
 		return nil, r.err()
 	}
-	checkShape(r, body, reflect.TypeFor[Manifest](), "")
+	checkShape(r, body, reflect.TypeFor[Manifest]())
+	if len(r.problems) == maxProblems {
+		return nil, r.err()
+	}
 	var m Manifest
 	if err := yaml.NodeToValue(body, &m, yaml.AllowDuplicateMapKey()); err != nil {
 		if len(r.problems) == 0 {
@@ -82,6 +88,10 @@
 // manifest never needs: deep nesting, and the parts of YAML that make a short
 // document stand for a long or an unclear one.
 func checkTokens(r *report, tokens token.Tokens) bool {
+	if len(tokens) > maxTokens {
+		r.add("", "must have at most %d tokens, not %d", maxTokens, len(tokens))
+		return false
+	}
 	depth := 0
 	for _, t := range tokens {
 		switch t.Type {
--- a/manifest/parse_test.go
+++ b/manifest/parse_test.go
@@ -108,7 +108,7 @@
 }
 
 func TestParseReportsAllProblemsTogether(t *testing.T) {
-	document := strings.NewReplacer("tier: 2", "tier: 9", "model: small", "model: large", "version: 3", "version: 3\ncolour: red").Replace(valid)
+	document := strings.NewReplacer("whole: 2s", "whole: 2", "tier: 2", "tier: 9", "model: small", "model: large", "version: 3", "version: 3\ncolour: red").Replace(valid)
 	_, err := Parse([]byte(document))
 	var problems *Error
 	if !errors.As(err, &problems) {
@@ -116,6 +116,7 @@
 	}
 	want := []Problem{
 		{"colour", 2, "is not a known field"},
+		{"classes[0].targets.whole", 5, "must be a duration with its unit, such as 800ms"},
 		{"classes[1].tier", 7, "must be at most 4, not 9"},
 		{"routes[0].model", 20, `"large" is not a model`},
 	}
--- a/manifest/schemagen/schemagen.go
+++ b/manifest/schemagen/schemagen.go
@@ -94,7 +94,7 @@
 		case "min":
 			setMinimum(schema, parameter)
 		case "max":
-			schema.Maximum = json.Number(parameter)
+			setMaximum(schema, parameter)
 		case "len":
 			setLength(schema, parameter)
 		case "oneof":
@@ -116,6 +116,19 @@
 	schema.MinItems = &one
 }
 
+func setMaximum(schema *jsonschema.Schema, parameter string) {
+	var limit uint64
+	whole := json.Unmarshal([]byte(parameter), &limit) == nil
+	switch {
+	case schema.Type == "array" && whole:
+		schema.MaxItems = &limit
+	case schema.Type == "string" && whole:
+		schema.MaxLength = &limit
+	default:
+		schema.Maximum = json.Number(parameter)
+	}
+}
+
 func setLength(schema *jsonschema.Schema, parameter string) {
 	var length uint64
 	if json.Unmarshal([]byte(parameter), &length) == nil {
--- a/manifest/shape.go
+++ b/manifest/shape.go
@@ -8,99 +8,114 @@
 	"github.com/goccy/go-yaml/ast"
 )
 
-// checkShape compares a node with the type that it shall fill and notes every
-// unknown or repeated field and every value of another type. It also notes
-// the line of each field.
-func checkShape(r *report, node ast.Node, t reflect.Type, path string) {
-	if t == reflect.TypeFor[time.Duration]() {
-		checkDuration(r, node, path)
-		return
-	}
-	switch t.Kind() {
-	case reflect.Struct:
-		checkMapping(r, node, t, path)
-	case reflect.Slice:
-		checkSequence(r, node, t, path)
+// shape compares a document with the type that it shall fill.
+type shape struct {
+	report *report
+	// unread are the paths of values of another type.
+	unread []string
+}
+
+// checkShape notes every unknown or repeated field and every value of another
+// type, and the line of each field. Values of another type are replaced by
+// null, so that the rest can be decoded and checked too.
+func checkShape(r *report, node ast.Node, t reflect.Type) {
+	s := shape{report: r}
+	s.check(node, t, "")
+	r.unread = s.unread
+}
+
+// check returns the node that decodes into the type without an error.
+func (s *shape) check(node ast.Node, t reflect.Type, path string) ast.Node {
+	var fault string
+	switch {
+	case t == reflect.TypeFor[time.Duration]():
+		fault = durationFault(node)
+	case t.Kind() == reflect.Struct:
+		fault = s.checkMapping(node, t, path)
+	case t.Kind() == reflect.Slice:
+		fault = s.checkSequence(node, t, path)
 	default:
-		checkScalar(r, node, t, path)
+		fault = scalarFault(node, t)
+	}
+	if fault == "" {
+		return node
 	}
+	s.report.add(path, "%s", fault)
+	s.unread = append(s.unread, path)
+	return ast.Null(node.GetToken())
 }
 
-func checkMapping(r *report, node ast.Node, t reflect.Type, path string) {
+func (s *shape) checkMapping(node ast.Node, t reflect.Type, path string) (fault string) {
 	mapping, ok := node.(ast.MapNode)
 	if !ok {
-		r.add(path, "must be a mapping")
-		return
+		return "must be a mapping"
 	}
 	fields := fieldsByName(t)
 	seen := make(map[string]bool, len(fields))
 	for entries := mapping.MapRange(); entries.Next(); {
 		name := keyText(entries.Key())
 		inner := join(path, name)
-		field, known := fields[name]
-		if !known {
-			r.lines[inner] = entries.Key().GetToken().Position.Line
-			r.add(inner, "is not a known field")
-			continue
+		if !seen[name] {
+			s.report.lines[inner] = entries.Key().GetToken().Position.Line
 		}
-		if seen[name] {
-			r.add(inner, "occurs twice")
-			continue
+		field, known := fields[name]
+		switch {
+		case !known:
+			s.report.add(inner, "is not a known field")
+		case seen[name]:
+			s.report.add(inner, "occurs twice")
+		default:
+			entry := entries.KeyValue()
+			entry.Value = s.check(entry.Value, field.Type, inner)
 		}
 		seen[name] = true
-		r.lines[inner] = entries.Key().GetToken().Position.Line
-		checkShape(r, entries.Value(), field.Type, inner)
 	}
+	return ""
 }
 
-func checkSequence(r *report, node ast.Node, t reflect.Type, path string) {
+func (s *shape) checkSequence(node ast.Node, t reflect.Type, path string) (fault string) {
 	sequence, ok := node.(*ast.SequenceNode)
 	if !ok {
-		r.add(path, "must be a list")
-		return
+		return "must be a list"
 	}
 	for i, value := range sequence.Values {
 		inner := fmt.Sprintf("%s[%d]", path, i)
 		if value.GetToken() != nil {
-			r.lines[inner] = value.GetToken().Position.Line
+			s.report.lines[inner] = value.GetToken().Position.Line
 		}
-		checkShape(r, value, t.Elem(), inner)
+		sequence.Values[i] = s.check(value, t.Elem(), inner)
 	}
+	return ""
 }
 
-func checkScalar(r *report, node ast.Node, t reflect.Type, path string) {
+func scalarFault(node ast.Node, t reflect.Type) string {
 	target := reflect.Zero(t)
+	small, isSmall := integer(node).(int64)
+	_, isLarge := integer(node).(uint64)
+	_, isFloat := node.(*ast.FloatNode)
+	_, isText := text(node)
 	switch {
-	case target.CanInt():
-		value, ok := integer(node).(int64)
-		if !ok || target.OverflowInt(value) {
-			r.add(path, "must be a whole number")
-		}
-	case target.CanUint():
-		value, ok := integer(node).(int64)
-		if _, large := integer(node).(uint64); !large && (!ok || value < 0) {
-			r.add(path, "must be a whole number from 0")
-		}
-	case target.CanFloat():
-		_, isFloat := node.(*ast.FloatNode)
-		if integer(node) == nil && !isFloat {
-			r.add(path, "must be a number")
-		}
+	case target.CanInt() && (!isSmall || target.OverflowInt(small)):
+		return "must be a whole number"
+	case target.CanUint() && !isLarge && (!isSmall || small < 0):
+		return "must be a whole number from 0"
+	case target.CanFloat() && !isSmall && !isLarge && !isFloat:
+		return "must be a number"
+	case t.Kind() == reflect.String && !isText:
+		return "must be text; quote it"
 	default:
-		if _, ok := text(node); !ok {
-			r.add(path, "must be text; quote it")
-		}
+		return ""
 	}
 }
 
-// checkDuration wants a unit, since a bare number would not say which it is.
-func checkDuration(r *report, node ast.Node, path string) {
+// durationFault wants a unit, since a bare number would not say which it is.
+func durationFault(node ast.Node) string {
 	if value, ok := text(node); ok {
 		if _, err := time.ParseDuration(value); err == nil {
-			return
+			return ""
 		}
 	}
-	r.add(path, "must be a duration with its unit, such as 800ms")
+	return "must be a duration with its unit, such as 800ms"
 }
 
 // integer returns the int64 or uint64 of a node, or nil.
--- a/manifest/types.go
+++ b/manifest/types.go
@@ -31,15 +31,15 @@
 	// Deployment names the deployment, for logs and metrics.
 	Deployment string `yaml:"deployment" json:"deployment" validate:"required,name"`
 	// Classes are the service classes.
-	Classes []Class `yaml:"classes" json:"classes" validate:"required,min=1,dive"`
+	Classes []Class `yaml:"classes" json:"classes" validate:"required,min=1,max=64,dive"`
 	// Models are the language models that callers can name.
-	Models []Model `yaml:"models" json:"models,omitempty" validate:"dive"`
+	Models []Model `yaml:"models" json:"models,omitempty" validate:"max=256,dive"`
 	// Services are the plain services under /v1/services/.
-	Services []Service `yaml:"services" json:"services,omitempty" validate:"dive"`
+	Services []Service `yaml:"services" json:"services,omitempty" validate:"max=256,dive"`
 	// Accounts are the client accounts.
-	Accounts []ClientAccount `yaml:"accounts" json:"accounts" validate:"required,min=1,dive"`
+	Accounts []ClientAccount `yaml:"accounts" json:"accounts" validate:"required,min=1,max=20000,dive"`
 	// Routes give requests their class; the first match decides.
-	Routes []Route `yaml:"routes" json:"routes" validate:"required,min=1,dive"`
+	Routes []Route `yaml:"routes" json:"routes" validate:"required,min=1,max=1024,dive"`
 	// Limits bound what one request and one process may hold.
 	Limits Limits `yaml:"limits" json:"limits,omitzero"`
 }
@@ -82,7 +82,7 @@
 type ClientAccount struct {
 	Name string `yaml:"name" json:"name" validate:"required,name"`
 	// KeyHashes are the SHA-256 sums of the account's bearer keys, in hex.
-	KeyHashes []string `yaml:"key_hashes" json:"key_hashes" validate:"required,min=1,dive,len=64,hexadecimal,lowercase"`
+	KeyHashes []string `yaml:"key_hashes" json:"key_hashes" validate:"required,min=1,max=16,dive,len=64,hexadecimal,lowercase"`
 	// Weight is the account's share relative to others in the same class.
 	Weight int `yaml:"weight" json:"weight,omitempty" validate:"min=0,max=1000"`
 	// RequestsPerSecond limits the account over all entries; 0 is no limit.
@@ -90,7 +90,7 @@
 	// Burst is how many requests may come at once; 0 means one second's worth.
 	Burst int `yaml:"burst" json:"burst,omitempty" validate:"min=0,max=1000000"`
 	// Classes limits the classes the account may use; empty means all.
-	Classes []string `yaml:"classes" json:"classes,omitempty"`
+	Classes []string `yaml:"classes" json:"classes,omitempty" validate:"max=64"`
 }
 
 // Route gives the requests that match it a class. Either Model or Service
@@ -102,8 +102,8 @@
 	// Methods are HTTP methods of a service route; empty matches all.
 	Methods []string `yaml:"methods" json:"methods,omitempty" validate:"dive,oneof=GET HEAD POST PUT PATCH DELETE"`
 	// PathPrefix matches the path below the service; empty matches all.
-	PathPrefix string   `yaml:"path_prefix" json:"path_prefix,omitempty"`
-	Classes    []string `yaml:"classes" json:"classes" validate:"required,min=1"`
+	PathPrefix string   `yaml:"path_prefix" json:"path_prefix,omitempty" validate:"max=1024"`
+	Classes    []string `yaml:"classes" json:"classes" validate:"required,min=1,max=64"`
 }
 
 // Limits bound what requests and processes may hold. Zero means the default.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -115,7 +115,8 @@
 	validate := validation.New()
 	for _, flag := range flags {
 		rule := flag.Tag.Get("validate")
-		if rule == "" || c.failed[flag.Name] {
+		missing := flag.Required && flag.Target.IsZero() // the parser noted it
+		if rule == "" || missing || c.failed[flag.Name] {
 			continue
 		}
 		err := validate.Var(flag.Target.Interface(), rule)
