Close connections between peers that carry no calls

A connection was kept open, with a heartbeat a second, for as long as the process lived. Versions and VM lists go to peers that change every few minutes, so a process would end up connected with the whole fleet: at 1,140 processes that alone is above the 5 KB a second that control may use. A connection without a call for 20 s is now closed; the next call dials again. Closing by the callers was ruled out: the same connection may carry streams.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -26,6 +26,9 @@
 	WriteTimeout time.Duration
 	// RedialDelay is how long calls fail at once after a failed dial.
 	RedialDelay time.Duration
+	// UnusedTimeout closes a connection that carried no call for so long. A
+	// process that talks to many peers in turn then holds few connections.
+	UnusedTimeout time.Duration
 }
 
 // DefaultConfig returns the timeouts that the daemons use.
@@ -36,6 +39,7 @@
 		IdleTimeout:       3 * time.Second,
 		WriteTimeout:      2 * time.Second,
 		RedialDelay:       100 * time.Millisecond,
+		UnusedTimeout:     20 * time.Second,
 	}
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -126,3 +127,52 @@
 		c.Close()
 	}
 }
+
+func TestUnusedConnectionIsClosedAndReplaced(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.HeartbeatInterval = time.Millisecond
+	cfg.UnusedTimeout = time.Nanosecond
+	_, address, server := start(t, cfg)
+	p := NewPool(cfg)
+	defer p.Close()
+	for range 3 {
+		var reply Text
+		if err := p.Call(context.Background(), address, "Echo.Echo", Text{"a"}, &reply); err != nil {
+			t.Fatal(err)
+		}
+		for open(server) > 0 {
+			runtime.Gosched()
+		}
+	}
+}
+
+func TestConnectionWithACallUnderWayIsKept(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.HeartbeatInterval = time.Millisecond
+	cfg.UnusedTimeout = time.Nanosecond
+	e, address, _ := start(t, cfg)
+	p := NewPool(cfg)
+	defer p.Close()
+	done := make(chan error, 1)
+	go func() { done <- p.Call(context.Background(), address, "Echo.Wait", Text{"a"}, &Text{}) }()
+	<-e.entered
+	l, err := p.link(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err := l.present()
+	if err != nil || l.retire(client) {
+		t.Fatalf("retired with a call under way, %v", err)
+	}
+	close(e.release)
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// open returns how many connections the server holds.
+func open(s *Server) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -39,6 +39,8 @@
 	if err != nil {
 		return err
 	}
+	l.begin()
+	defer l.end()
 	client, err := l.client(ctx)
 	if err != nil {
 		return err
@@ -112,6 +114,35 @@
 	rpc      *rpc.Client
 	stop     chan struct{}
 	failedAt time.Time
+	// calls is the number of calls under way; usedAt is when the last ended.
+	calls  int
+	usedAt time.Time
+}
+
+func (l *link) begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+}
+
+func (l *link) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls--
+	l.usedAt = time.Now()
+}
+
+// retire closes the connection when it was not used for a long time.
+func (l *link) retire(client *rpc.Client) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	timeout := l.pool.cfg.UnusedTimeout
+	if timeout <= 0 || l.calls > 0 || l.rpc != client || time.Since(l.usedAt) < timeout {
+		return false
+	}
+	l.rpc = nil
+	client.Close()
+	return true
 }
 
 // present returns the open connection, if there is one.
@@ -185,6 +216,9 @@
 			return
 		case <-ticker.C:
 		}
+		if l.retire(client) {
+			return
+		}
 		if err := ping(client, l.pool.cfg.IdleTimeout); err != nil {
 			l.drop(client)
 			return
