Decode a list of VMs only when it differs

A process that asks a reader every 2 s got the same list nearly always and decoded it each time. The decoded list is now kept with its bytes.

--- a/membership/pull.go
+++ b/membership/pull.go
@@ -72,43 +72,41 @@
 	if now != nil && !readAt.After(now.readAt) {
 		return nil
 	}
-	document := (*delta.Indexed)(nil)
-	if now != nil {
-		document = now.document
-	}
-	if !reply.Same {
-		body, err := w.fetch(ctx, address, reply.Recipe, document)
-		if err != nil {
-			return err
-		}
-		document = delta.Index(body)
-	}
-	if document == nil {
-		return eris.New("membership: the peer names a list that is not here")
-	}
-	vms, err := decode(document.Body())
-	if err != nil {
+	next := &listing{readAt: readAt}
+	if reply.Same && now != nil {
+		next.vms, next.document = now.vms, now.document
+	} else if err := w.fetch(ctx, address, reply.Recipe, now, next); err != nil {
 		return err
 	}
-	w.publish(vms, &listing{document: document, readAt: readAt})
+	w.publish(next)
 	return nil
 }
 
-// fetch builds the list of a recipe from the one at hand and the missing
+// fetch fills in the list of a recipe from the one at hand and the missing
 // chunks at address.
-func (w *Watcher) fetch(ctx context.Context, address string, recipe delta.Recipe, base *delta.Indexed) ([]byte, error) {
+func (w *Watcher) fetch(ctx context.Context, address string, recipe delta.Recipe, now, next *listing) error {
+	var base *delta.Indexed
+	if now != nil {
+		base = now.document
+	}
 	missing := base.Missing(recipe)
 	var reply ChunksReply
 	if len(missing) > 0 {
 		args := ChunksArgs{Digest: recipe.Digest, Indexes: missing}
 		if err := w.cfg.Caller.Call(ctx, address, MethodChunks, args, &reply); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	if reply.Gone {
-		return nil, eris.New("membership: the peer no longer has the list")
+		return eris.New("membership: the peer no longer has the list")
+	}
+	body, err := base.Assemble(recipe, missing, reply.Chunks, maxListBytes)
+	if err != nil {
+		return err
 	}
-	return base.Assemble(recipe, missing, reply.Chunks, maxListBytes)
+	next.document = delta.Index(body)
+	next.vms, err = decode(body)
+	return err
 }
 
 // Service answers peers' questions for the list by net/rpc. Register it under
--- a/membership/watcher.go
+++ b/membership/watcher.go
@@ -85,6 +85,7 @@
 
 // listing is a list as the platform gave it. It is immutable.
 type listing struct {
+	vms      []platform.VM
 	document *delta.Indexed
 	readAt   time.Time
 }
@@ -177,13 +178,13 @@
 		w.counts.PlatformFailures.Add(1)
 		return false
 	}
-	w.publish(vms, &listing{document: document, readAt: start})
+	w.publish(&listing{vms: vms, document: document, readAt: start})
 	return true
 }
 
 // publish puts a newer list in use.
-func (w *Watcher) publish(vms []platform.VM, next *listing) {
-	if w.cfg.Table.ApplyAt(vms, next.readAt) {
+func (w *Watcher) publish(next *listing) {
+	if w.cfg.Table.ApplyAt(next.vms, next.readAt) {
 		w.current.Store(next)
 	}
 }
