Let a starting process wait for the word of a peer

A process could become ready with the configuration service's document before the list of VMs was known, without asking any peer: beside a stale replica it then served an old version. It now waits up to 5 s for the list and for a peer that names its version; a peer that has none yet does not count.

--- a/configsync/confirm.go
+++ b/configsync/confirm.go
@@ -12,7 +12,7 @@
 type Confirmation struct {
 	// Version is the version in force afterwards; 0 is none.
 	Version uint64
-	// Peers is how many other processes answered.
+	// Peers is how many other processes named the version that they have.
 	Peers int
 	// Service is true when the configuration service answered with a valid
 	// document.
@@ -72,7 +72,7 @@
 	answered := 0
 	highest := uint64(0)
 	for _, a := range answers {
-		if a.Address != "" {
+		if a.Address != "" && a.Version > 0 {
 			answered++
 			highest = max(highest, a.Version)
 		}
--- a/node/duties.go
+++ b/node/duties.go
@@ -8,19 +8,29 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/configsync"
 	"github.com/sesameswitch/sesameswitch/membership"
 	"github.com/sesameswitch/sesameswitch/platform/httpplatform"
 )
 
-// startPause is the time between two tries to find a configuration at start.
-const startPause = 200 * time.Millisecond
+const (
+	// startPause is the time between two tries to find a configuration at
+	// start.
+	startPause = 200 * time.Millisecond
+	// startPatience is how long a starting process waits for the list of VMs
+	// and for a peer's answer before it takes the configuration service's word
+	// alone.
+	startPatience = 5 * time.Second
+)
 
 // duties keep the configuration and the membership up to date.
 type duties struct {
 	syncer  *configsync.Syncer
 	watcher *membership.Watcher
 	store   *configsync.Store
+	members *membership.Table
+	clock   clock.Clock
 	// confirmed is true once a configuration was confirmed with whoever
 	// answered; a process is not ready before.
 	confirmed atomic.Bool
@@ -28,7 +38,9 @@
 
 func newDuties(n *Node) *duties {
 	return &duties{
-		store: n.Configuration,
+		store:   n.Configuration,
+		members: n.Members,
+		clock:   n.Clock,
 		syncer: configsync.NewSyncer(configsync.SyncerConfig{
 			Store:   n.Configuration,
 			Source:  httpplatform.NewConfigSource(n.Settings.ConfigURL, n.Settings.ConfigKey),
@@ -49,10 +61,10 @@
 
 // register adds the services that answer peers.
 func (d *duties) register(n *Node) error {
-	if err := n.PeerServer.Register("Config", d.syncer.Service()); err != nil {
+	if err := n.PeerServer.Register(configsync.ServiceName, d.syncer.Service()); err != nil {
 		return err
 	}
-	return n.PeerServer.Register("Membership", d.watcher.Service())
+	return n.PeerServer.Register(membership.ServiceName, d.watcher.Service())
 }
 
 // run learns the members first, then the configuration, and keeps both up to
@@ -71,13 +83,14 @@
 	return group.Wait()
 }
 
-// start asks for the configuration until there is one.
+// start asks peers and the configuration service until there is a
+// configuration that was confirmed. The service may be stale, so a process
+// waits for peers before it believes the service alone.
 func (d *duties) start(ctx context.Context) error {
+	begun := d.clock.Now()
 	for {
-		if _, known := d.watcher.Age(); known {
-			d.syncer.Confirm(ctx)
-		}
-		if d.store.Current() != nil {
+		patient := d.clock.Now().Sub(begun) < startPatience
+		if d.confirmStart(ctx, patient) {
 			d.confirmed.Store(true)
 			return nil
 		}
@@ -91,6 +104,31 @@
 	}
 }
 
+// confirmStart reports whether there is a configuration that the process may
+// serve with. While patient it wants the word of a peer, if the list names
+// any.
+func (d *duties) confirmStart(ctx context.Context, patient bool) bool {
+	_, known := d.watcher.Age()
+	if !known && patient {
+		return false
+	}
+	answer := d.syncer.Confirm(ctx)
+	if d.store.Current() == nil {
+		return false
+	}
+	return answer.Peers > 0 || d.alone() || !patient
+}
+
+// alone reports whether the list names no other process.
+func (d *duties) alone() bool {
+	for _, vm := range d.members.VMs() {
+		if vm.Name != d.members.Self().Name {
+			return false
+		}
+	}
+	return true
+}
+
 // confirm brings the configuration up to date unless it was confirmed a
 // moment ago.
 func (d *duties) confirm(ctx context.Context) {
