--- /dev/null
+++ b/prove/cluster.go
@@ -0,0 +1,357 @@
+package prove
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesameswitch/sesameswitch/history"
+	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/timeline"
+)
+
+const (
+	startPatience = 30 * time.Second
+	adminTimeout  = time.Second
+	configKey     = "manifest"
+)
+
+// member is a process of the system under test.
+type member struct {
+	process
+	vm    platform.VM
+	admin string
+	// callers is the address for callers, of entries only.
+	callers string
+	// link stands between the other processes and an agent.
+	link *relay
+	// busy is held by the failure that works on the member.
+	busy sync.Mutex
+}
+
+// cluster is a whole deployment under test.
+type cluster struct {
+	opts    Options
+	began   time.Time
+	client  *http.Client
+	config  *process
+	list    *process
+	engines []*process
+	shops   []*process
+	// addresses of the stand-ins, by name.
+	addresses map[string]string
+	entries   []*member
+	agents    []*member
+	recorder  history.Recorder
+
+	mu      sync.Mutex
+	version uint64
+	events  []string
+	// saved are events of members whose time line would be lost.
+	saved      []timeline.Event
+	departures []departure
+}
+
+// now is the time since the start of the history.
+func (c *cluster) now() time.Duration { return time.Since(c.began) }
+
+func newCluster(opts Options) *cluster {
+	return &cluster{
+		opts:      opts,
+		began:     time.Now(),
+		client:    &http.Client{Timeout: adminTimeout},
+		addresses: make(map[string]string),
+	}
+}
+
+// start brings everything up and waits until all members are ready.
+func (c *cluster) start() error {
+	if err := c.startStandIns(); err != nil {
+		return err
+	}
+	if err := c.publish(1, manifestOf(1), true); err != nil {
+		return err
+	}
+	if err := c.startMembers(); err != nil {
+		return err
+	}
+	if err := c.putVMs(); err != nil {
+		return err
+	}
+	return c.awaitReady(startPatience)
+}
+
+func (c *cluster) startStandIns() error {
+	var err error
+	if c.config, err = c.standIn("config", "config"); err != nil {
+		return err
+	}
+	if c.list, err = c.standIn("vmlist", "vmlist"); err != nil {
+		return err
+	}
+	for _, name := range []string{"engine-1", "engine-2"} {
+		p, err := c.standIn(name, "engine", "--models", modelName, "--time-scale", "10", "--slots", "8")
+		if err != nil {
+			return err
+		}
+		c.engines = append(c.engines, p)
+	}
+	for _, name := range []string{"service-1", "service-2"} {
+		p, err := c.standIn(name, "service", "--name", serviceName, "--latency", "30ms")
+		if err != nil {
+			return err
+		}
+		c.shops = append(c.shops, p)
+	}
+	return nil
+}
+
+func (c *cluster) standIn(name, kind string, args ...string) (*process, error) {
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	c.addresses[name] = address
+	p := &process{
+		name: name,
+		path: filepath.Join(c.opts.Bin, "sesame-standin"),
+		args: append([]string{kind, "--listen", address}, args...),
+	}
+	if err := p.start(); err != nil {
+		return nil, err
+	}
+	return p, c.await(startPatience, func() bool { return c.reachable(address) })
+}
+
+func (c *cluster) reachable(address string) bool {
+	response, err := c.client.Get("http://" + address + "/admin/faults")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (c *cluster) startMembers() error {
+	for i, backend := range []string{"engine-1", "engine-2", "service-1", "service-2"} {
+		m, err := c.newAgent([]string{"agent-1", "agent-2", "agent-3", "agent-4"}[i], backend)
+		if err != nil {
+			return err
+		}
+		c.agents = append(c.agents, m)
+	}
+	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+		m, err := c.newEntry(name)
+		if err != nil {
+			return err
+		}
+		c.entries = append(c.entries, m)
+	}
+	for _, m := range c.members() {
+		if err := m.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cluster) members() []*member {
+	return append(append([]*member(nil), c.agents...), c.entries...)
+}
+
+// newMember returns a member with free addresses and the flags that all
+// members have.
+func (c *cluster) newMember(name, program string, role platform.Role) (*member, string, error) {
+	admin, err := freeAddress()
+	if err != nil {
+		return nil, "", err
+	}
+	peers, err := freeAddress()
+	if err != nil {
+		return nil, "", err
+	}
+	m := &member{
+		process: process{name: name, path: filepath.Join(c.opts.Bin, program), env: c.opts.Environment},
+		vm:      platform.VM{Name: name, Address: peers, DataCentre: "dc-1", Role: role, State: platform.VMLive},
+		admin:   admin,
+	}
+	m.args = []string{
+		"--vm", name, "--data-centre", "dc-1", "--admin-listen", admin,
+		"--config-url", "http://" + c.addresses["config"], "--config-key", configKey,
+		"--vm-list-url", "http://" + c.addresses["vmlist"],
+	}
+	return m, peers, nil
+}
+
+func (c *cluster) newAgent(name, backend string) (*member, error) {
+	m, peers, err := c.newMember(name, "sesame-agent", platform.RoleAgent)
+	if err != nil {
+		return nil, err
+	}
+	if m.link, err = newRelay(peers); err != nil {
+		return nil, err
+	}
+	m.vm.Address = m.link.address()
+	m.args = append(m.args, "--listen", peers, "--backend-url", "http://"+c.addresses[backend], "--slots", "8")
+	if backend[:1] == "e" {
+		m.args = append(m.args, "--backend-kind", "engine", "--models", modelName)
+	} else {
+		m.args = append(m.args, "--backend-kind", "service", "--services", serviceName)
+	}
+	return m, nil
+}
+
+func (c *cluster) newEntry(name string) (*member, error) {
+	m, peers, err := c.newMember(name, "sesame-entry", platform.RoleEntry)
+	if err != nil {
+		return nil, err
+	}
+	if m.callers, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	m.args = append(m.args, "--listen", m.callers, "--peer-listen", peers)
+	return m, nil
+}
+
+// close ends all processes.
+func (c *cluster) close() {
+	for _, m := range c.members() {
+		if m.link != nil {
+			m.link.close()
+		}
+		m.end()
+	}
+	for _, p := range append(append([]*process{c.config, c.list}, c.engines...), c.shops...) {
+		p.end()
+	}
+}
+
+// end kills a process that was started.
+func (p *process) end() {
+	if p != nil && p.exited != nil {
+		p.kill()
+	}
+}
+
+func (c *cluster) awaitReady(patience time.Duration) error {
+	err := c.await(patience, func() bool {
+		for _, m := range c.members() {
+			if !c.ready(m) {
+				return false
+			}
+		}
+		return true
+	})
+	if err == nil {
+		return nil
+	}
+	for _, m := range c.members() {
+		if !c.ready(m) {
+			return eris.Errorf("%s is not ready after %v: %s", m.name, patience, m.stderr)
+		}
+	}
+	return err
+}
+
+func (c *cluster) ready(m *member) bool {
+	response, err := c.client.Get("http://" + m.admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+const pollInterval = 20 * time.Millisecond
+
+func (c *cluster) await(patience time.Duration, condition func() bool) error {
+	limit := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(limit) {
+			return eris.Errorf("condition does not hold after %v", patience)
+		}
+		time.Sleep(pollInterval)
+	}
+	return nil
+}
+
+// putVMs makes the list of VMs tell the present members and states.
+func (c *cluster) putVMs() error {
+	var vms []platform.VM
+	for _, m := range c.members() {
+		vms = append(vms, m.vm)
+	}
+	return c.put(c.addresses["vmlist"], "/admin/vms", vms)
+}
+
+// publish puts a document into the configuration service.
+func (c *cluster) publish(version uint64, body []byte, valid bool) error {
+	c.mu.Lock()
+	c.version = max(c.version, version)
+	c.mu.Unlock()
+	c.recorder.Publish(history.Publication{At: c.now(), Version: version, Valid: valid})
+	return c.send(c.addresses["config"], "/admin/values/"+configKey, body)
+}
+
+// nextVersion returns a version that was never published.
+func (c *cluster) nextVersion() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version++
+	return c.version
+}
+
+// setFaults replaces a stand-in's faults.
+func (c *cluster) setFaults(standIn string, faults any) error {
+	return c.put(c.addresses[standIn], "/admin/faults", faults)
+}
+
+func (c *cluster) put(address, path string, value any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return eris.Wrap(err, "encode")
+	}
+	return c.send(address, path, body)
+}
+
+func (c *cluster) send(address, path string, body []byte) error {
+	request, err := http.NewRequest(http.MethodPut, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, path)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return eris.Wrap(err, path)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(response.Body) // the status says enough
+		return eris.Errorf("PUT %s: %s: %s", path, response.Status, text)
+	}
+	return nil
+}
+
+func (c *cluster) get(address, path string, into any) error {
+	response, err := c.client.Get("http://" + address + path)
+	if err != nil {
+		return eris.Wrap(err, path)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("GET %s: %s", path, response.Status)
+	}
+	return eris.Wrap(json.NewDecoder(response.Body).Decode(into), path)
+}
+
+// note adds an event of the run itself to the time line.
+func (c *cluster) note(what string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.events = append(c.events, time.Now().UTC().Format(timeFormat)+" prove "+what)
+}
--- /dev/null
+++ b/prove/fault.go
@@ -0,0 +1,241 @@
+package prove
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/standin/config"
+	"github.com/sesameswitch/sesameswitch/standin/engine"
+	"github.com/sesameswitch/sesameswitch/standin/service"
+	"github.com/sesameswitch/sesameswitch/standin/vmlist"
+)
+
+// fault is a failure that lasts for a while and is then mended. Graceful
+// faults must not cut a request in flight.
+type fault struct {
+	name     string
+	graceful bool
+	cause    func(c *cluster, rng *rand.Rand, lasting time.Duration) error
+}
+
+// Bounds of the length of a failure.
+const (
+	minFault = 500 * time.Millisecond
+	maxFault = 5 * time.Second
+)
+
+func catalogue() []fault {
+	return []fault{
+		{"kill-agent", false, killed(agents)},
+		{"kill-entry", false, killed(entries)},
+		{"freeze-agent", false, frozen(agents)},
+		{"freeze-entry", false, frozen(entries)},
+		{"cut-link", false, linked(linkCut)},
+		{"silent-link", false, linked(linkSilent)},
+		{"lose-requests", false, linked(linkLosesRequests)},
+		{"lose-answers", false, linked(linkLosesAnswers)},
+		{"end-agent", true, ended(agents)},
+		{"end-entry", true, ended(entries)},
+		{"agent-leaves", true, leaves},
+		{"config-down", true, standInFault("config", config.Faults{Down: true}, config.Faults{})},
+		{"config-hung", true, standInFault("config", config.Faults{Hang: true}, config.Faults{})},
+		{"config-garbage", true, standInFault("config", config.Faults{Garbage: true}, config.Faults{})},
+		{"config-half", true, standInFault("config", config.Faults{Half: true}, config.Faults{})},
+		{"config-flapping", true, standInFault("config", config.Faults{FlapEvery: 2}, config.Faults{})},
+		{"config-stale-and-restart", false, staleStart},
+		{"operators-at-once", true, operators},
+		{"list-hung", true, standInFault("vmlist", vmlist.Faults{Hang: true}, vmlist.Faults{})},
+		{"list-lags", true, standInFault("vmlist", vmlist.Faults{LagMillis: 10_000}, vmlist.Faults{})},
+		{"engine-hung", false, standInFault("engine-1", engine.Faults{Hang: true}, engine.Faults{})},
+		{"engine-truncates", false, standInFault("engine-1", engine.Faults{TruncateAfter: 5}, engine.Faults{})},
+		{"engine-no-end-marker", false, standInFault("engine-1", engine.Faults{OmitDone: true}, engine.Faults{})},
+		{"engine-repeats-chunk", false, standInFault("engine-1", engine.Faults{DuplicateChunk: 3}, engine.Faults{})},
+		{"engine-slow", false, standInFault("engine-1", engine.Faults{SlowFactor: 10}, engine.Faults{})},
+		{"service-hangs-after", false, standInFault("service-1", service.Faults{HangAfter: true}, service.Faults{})},
+		{"service-closes-after", false, standInFault("service-1", service.Faults{CloseAfter: true}, service.Faults{})},
+		{"service-closes-before", false, standInFault("service-1", service.Faults{CloseBefore: true}, service.Faults{})},
+		{"service-short", false, standInFault("service-1", service.Faults{ShortLength: true}, service.Faults{})},
+	}
+}
+
+// FaultNames returns the names of all failures.
+func FaultNames() []string {
+	var names []string
+	for _, f := range catalogue() {
+		names = append(names, f.name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// draw picks one failure for odd seeds and a pair for even ones. Successive
+// seeds go through the catalogue, so that every failure occurs alone.
+func draw(seed uint64, rng *rand.Rand, only []string) []fault {
+	all := catalogue()
+	if len(only) > 0 {
+		all = slices.DeleteFunc(all, func(f fault) bool { return !slices.Contains(only, f.name) })
+	}
+	chosen := []fault{all[seed/2%uint64(len(all))]}
+	if seed%2 == 0 {
+		chosen = []fault{all[rng.IntN(len(all))], all[rng.IntN(len(all))]}
+	}
+	return chosen
+}
+
+func agents(c *cluster) []*member  { return c.agents }
+func entries(c *cluster) []*member { return c.entries }
+
+func pick(rng *rand.Rand, from []*member) *member { return from[rng.IntN(len(from))] }
+
+// killed ends a member at once and starts another life on the same addresses.
+func killed(group func(*cluster) []*member) func(*cluster, *rand.Rand, time.Duration) error {
+	return func(c *cluster, rng *rand.Rand, lasting time.Duration) error {
+		m := pick(rng, group(c))
+		release := c.claim(m)
+		defer release()
+		c.saveTimeline(m)
+		c.note("kill " + m.name)
+		m.kill()
+		time.Sleep(lasting)
+		c.note("start " + m.name)
+		return m.start()
+	}
+}
+
+// frozen stops a member with all its beliefs and lets it go on.
+func frozen(group func(*cluster) []*member) func(*cluster, *rand.Rand, time.Duration) error {
+	return func(c *cluster, rng *rand.Rand, lasting time.Duration) error {
+		m := pick(rng, group(c))
+		release := c.claim(m)
+		defer release()
+		c.note("freeze " + m.name)
+		m.freeze()
+		time.Sleep(lasting)
+		c.note("thaw " + m.name)
+		m.thaw()
+		return nil
+	}
+}
+
+// linked damages the link to an agent.
+func linked(state linkState) func(*cluster, *rand.Rand, time.Duration) error {
+	return func(c *cluster, rng *rand.Rand, lasting time.Duration) error {
+		m := pick(rng, c.agents)
+		release := c.claim(m)
+		defer release()
+		c.note(fmt.Sprintf("damage link to %s, state %d", m.name, state))
+		m.link.set(state)
+		time.Sleep(lasting)
+		c.note("mend link to " + m.name)
+		m.link.set(linkOpen)
+		return nil
+	}
+}
+
+// ended ends a member gracefully and starts another life on the same
+// addresses.
+func ended(group func(*cluster) []*member) func(*cluster, *rand.Rand, time.Duration) error {
+	return func(c *cluster, rng *rand.Rand, lasting time.Duration) error {
+		m := pick(rng, group(c))
+		release := c.claim(m)
+		defer release()
+		return c.replace(m, lasting)
+	}
+}
+
+// replace ends a member gracefully and starts it again after a while.
+func (c *cluster) replace(m *member, lasting time.Duration) error {
+	c.noteDeparture(m)
+	c.note("terminate " + m.name)
+	watch := c.followTimeline(m)
+	err := m.terminate()
+	watch()
+	if err != nil {
+		return err
+	}
+	time.Sleep(lasting)
+	c.note("start " + m.name)
+	return m.start()
+}
+
+// leaves makes the list of VMs say that an agent leaves, before the agent is
+// told to end.
+func leaves(c *cluster, rng *rand.Rand, lasting time.Duration) error {
+	m := pick(rng, c.agents)
+	release := c.claim(m)
+	defer release()
+	m.vm.State = platform.VMLeaving
+	c.note("list says that " + m.name + " leaves")
+	if err := c.putVMs(); err != nil {
+		return err
+	}
+	time.Sleep(lasting)
+	m.vm.State = platform.VMLive
+	if err := c.replace(m, 0); err != nil {
+		return err
+	}
+	return c.putVMs()
+}
+
+// staleStart starts a member anew while the configuration service answers
+// with an old version only.
+func staleStart(c *cluster, rng *rand.Rand, lasting time.Duration) error {
+	version := c.nextVersion()
+	if err := c.publish(version, manifestOf(version), true); err != nil {
+		return err
+	}
+	time.Sleep(c.opts.InForceWithin)
+	if err := c.setFaults("config", config.Faults{StaleRevision: 1}); err != nil {
+		return err
+	}
+	c.note("configuration service is stale")
+	m := pick(rng, c.members())
+	release := c.claim(m)
+	defer release()
+	c.saveTimeline(m)
+	m.kill()
+	if err := m.start(); err != nil {
+		return err
+	}
+	time.Sleep(lasting)
+	c.note("configuration service is current")
+	return c.setFaults("config", config.Faults{})
+}
+
+// operators publishes versions by two operators within moments, one of them
+// invalid.
+func operators(c *cluster, _ *rand.Rand, _ time.Duration) error {
+	first, second, third := c.nextVersion(), c.nextVersion(), c.nextVersion()
+	c.note(fmt.Sprintf("publish %d, %d (invalid), %d", first, second, third))
+	if err := c.publish(third, manifestOf(third), true); err != nil {
+		return err
+	}
+	if err := c.publish(second, invalidManifest(second), false); err != nil {
+		return err
+	}
+	return c.publish(first, manifestOf(first), true)
+}
+
+// standInFault switches a fault of a stand-in on and off.
+func standInFault(standIn string, on, off any) func(*cluster, *rand.Rand, time.Duration) error {
+	return func(c *cluster, _ *rand.Rand, lasting time.Duration) error {
+		c.note(fmt.Sprintf("fault of %s: %+v", standIn, on))
+		if err := c.setFaults(standIn, on); err != nil {
+			return err
+		}
+		time.Sleep(lasting)
+		c.note("mend " + standIn)
+		return c.setFaults(standIn, off)
+	}
+}
+
+// claim keeps two failures of one run from working on the same member at
+// once.
+func (c *cluster) claim(m *member) (release func()) {
+	m.busy.Lock()
+	return m.busy.Unlock
+}
--- /dev/null
+++ b/prove/manifest.go
@@ -0,0 +1,57 @@
+package prove
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+)
+
+// Names in the manifest under test.
+const (
+	accountName  = "acme"
+	accountKey   = "acme-secret"
+	otherAccount = "other"
+	otherKey     = "other-secret"
+	modelName    = "small"
+	serviceName  = "booking"
+	classPayment = "payment"
+	classOrder   = "order"
+	classChat    = "chat"
+	classLookup  = "lookup"
+)
+
+const manifestFormat = `version: %d
+deployment: prove
+classes:
+  - {name: payment, tier: 1, repeatability: at_most_once, targets: {whole: 5s}}
+  - {name: order, tier: 2, repeatability: at_most_once, targets: {first_token: 5s}}
+  - {name: chat, tier: 2, repeatability: idempotent, targets: {first_token: 3s}}
+  - {name: lookup, tier: 4, repeatability: idempotent, targets: {whole: 3s}, floor: 0.1}
+models:
+  - {name: small, max_tokens: 4096}
+services:
+  - {name: booking}
+accounts:
+  - {name: acme, key_hashes: [%s]}
+  - {name: other, key_hashes: [%s]}
+routes:
+  - {model: small, classes: [chat, order]}
+  - {service: booking, path_prefix: /payments, classes: [payment]}
+  - {service: booking, classes: [lookup]}
+`
+
+// manifestOf returns the manifest with a version.
+func manifestOf(version uint64) []byte {
+	return fmt.Appendf(nil, manifestFormat, version, hashOf(accountKey), hashOf(otherKey))
+}
+
+// invalidManifest returns a document with a version that must be refused: a
+// route names a class that does not exist.
+func invalidManifest(version uint64) []byte {
+	return append(manifestOf(version), "  - {service: booking, classes: [nowhere]}\n"...)
+}
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/prove/seed.go
@@ -0,0 +1,178 @@
+package prove
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesameswitch/sesameswitch/history"
+)
+
+const (
+	observeInterval = 100 * time.Millisecond
+	// lateRepeats bounds the keys that are used again at the end.
+	lateRepeats = 200
+	// lateAtOnce bounds the late repeats under way.
+	lateAtOnce = 16
+)
+
+// Seed runs one seed and judges it.
+func Seed(opts Options, seed uint64) *Result {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	faults := draw(seed, rng, opts.Faults)
+	result := &Result{Seed: seed}
+	for _, f := range faults {
+		result.Faults = append(result.Faults, f.name)
+	}
+	c := newCluster(opts)
+	defer c.close()
+	if result.Err = c.start(); result.Err != nil {
+		return result
+	}
+	callers, err := c.load(seed, rng, faults)
+	if err != nil {
+		result.Err = err
+		return result
+	}
+	if result.Err = c.settle(result, callers); result.Err != nil {
+		return result
+	}
+	result.Err = c.judge(result, faults)
+	if result.Failed() {
+		result.Timeline = c.wholeTimeline()
+	}
+	return result
+}
+
+// load lets callers work while the failures are caused and mended.
+func (c *cluster) load(seed uint64, rng *rand.Rand, faults []fault) ([]*caller, error) {
+	stop := make(chan struct{})
+	var observers sync.WaitGroup
+	for _, m := range c.members() {
+		observers.Go(func() { c.observe(m, stop) })
+	}
+	until := c.now() + c.opts.Duration
+	var group errgroup.Group
+	for _, f := range faults {
+		after := time.Duration(rng.Int64N(int64(c.opts.Duration / 3)))
+		lasting := minFault + time.Duration(rng.Int64N(int64(maxFault-minFault)))
+		own := rand.New(rand.NewPCG(rng.Uint64(), 0))
+		group.Go(func() error {
+			time.Sleep(after)
+			return f.cause(c, own, lasting)
+		})
+	}
+	var callers []*caller
+	var working sync.WaitGroup
+	for i := range c.opts.Callers {
+		k := newCaller(c, seed, i)
+		callers = append(callers, k)
+		working.Go(func() { k.run(until) })
+	}
+	working.Wait()
+	err := group.Wait()
+	close(stop)
+	observers.Wait()
+	return callers, err
+}
+
+// observe records the configuration that a member has in force.
+func (c *cluster) observe(m *member, stop <-chan struct{}) {
+	ticker := time.NewTicker(observeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			c.observeOnce(m)
+		}
+	}
+}
+
+func (c *cluster) observeOnce(m *member) uint64 {
+	status, err := c.statusOf(m)
+	if err != nil {
+		return 0
+	}
+	c.recorder.Observe(history.Observation{
+		Process: m.name + "/" + status.Process.Incarnation, At: c.now(), Version: status.ConfigVersion,
+	})
+	return status.ConfigVersion
+}
+
+// settle repeats keys late, when all failures are mended, and publishes a
+// last version.
+func (c *cluster) settle(result *Result, callers []*caller) error {
+	if err := c.awaitReady(startPatience); err != nil {
+		return err
+	}
+	c.repeatLate(callers)
+	version := c.nextVersion()
+	began := c.now()
+	if err := c.publish(version, manifestOf(version), true); err != nil {
+		return err
+	}
+	err := c.await(c.opts.InForceWithin, func() bool {
+		for _, m := range c.members() {
+			if c.observeOnce(m) < version {
+				return false
+			}
+		}
+		return true
+	})
+	result.InForce = c.now() - began
+	if err != nil {
+		result.Violations = append(result.Violations, history.Violation{
+			Promise: history.ConfigInForce,
+			Subject: c.laggard(version),
+			Detail:  "the last version is not in force after " + c.opts.InForceWithin.String(),
+		})
+	}
+	return nil
+}
+
+// laggard names the members that have not the version.
+func (c *cluster) laggard(version uint64) string {
+	var names []string
+	for _, m := range c.members() {
+		if c.observeOnce(m) < version {
+			names = append(names, m.name)
+		}
+	}
+	return strings.Join(names, ", ")
+}
+
+// repeatLate uses keys once more through some entry.
+func (c *cluster) repeatLate(callers []*caller) {
+	var group errgroup.Group
+	group.SetLimit(lateAtOnce)
+	share := lateRepeats / max(1, len(callers))
+	for _, k := range callers {
+		for _, p := range k.used[max(0, len(k.used)-share):] {
+			group.Go(func() error {
+				k.use(p, callPatience)
+				return nil
+			})
+		}
+	}
+	_ = group.Wait() // the repeats return no errors
+}
+
+// wholeTimeline merges what the members and this run recorded.
+func (c *cluster) wholeTimeline() []string {
+	var lines []string
+	for _, e := range c.allEvents() {
+		lines = append(lines, formatEvent(e))
+	}
+	c.mu.Lock()
+	lines = append(lines, c.events...)
+	c.mu.Unlock()
+	sort.Strings(lines)
+	return slices.Compact(lines)
+}
