--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,7 +85,7 @@
 	faults.add(err)
 	faults.checkFlags(parser.Model.Flags)
 	if len(faults.messages) > 0 {
-		fmt.Fprintf(stderr, "%s: %d wrong settings:\n  %s\n", program.Name, len(faults.messages), strings.Join(faults.messages, "\n  "))
+		fmt.Fprintf(stderr, "%s: wrong settings (%d):\n  %s\n", program.Name, len(faults.messages), strings.Join(faults.messages, "\n  "))
 		return false, ExitUsage
 	}
 	if format := printFormat(parser.Model.Flags); format != "" {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -42,7 +42,7 @@
 	if ok || code != ExitUsage {
 		t.Fatalf("went on: %v, code %d", ok, code)
 	}
-	for _, want := range []string{"5 wrong settings", "--drain", "--streams must be at least 1", "--listen must be an address", "--log-level must be one of", "--quiet"} {
+	for _, want := range []string{"wrong settings (5)", "--drain", "--streams must be at least 1", "--listen must be an address", "--log-level must be one of", "--quiet"} {
 		if !strings.Contains(stderr, want) {
 			t.Errorf("%q is missing in:\n%s", want, stderr)
 		}
