--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,6 +42,14 @@
 	maxReadWait = 30 * time.Second
 	// maxReadBytes bounds the data of one read.
 	maxReadBytes = 256 << 10
+	// typicalQuantile of the service time is a request's expected cost.
+	typicalQuantile = 0.5
+	// slowQuantile of the time to the first token, or of the service time, is
+	// what a request needs after its start to meet its target.
+	slowQuantile = 0.9
+	// maxLeadPercent bounds the part of a target that slowQuantile takes, so
+	// that a slow backend server is not left without any requests.
+	maxLeadPercent = 75
 	// keyFutureSkew is how far ahead of this VM's clock a key may be minted.
 	keyFutureSkew = 30 * time.Second
 )
--- a/agent/answer.go
+++ b/agent/answer.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sync"
+	"time"
 
+	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/outcome"
 )
 
@@ -17,6 +19,9 @@
 	// keep holds on to bytes that were read already; a repeat of the key
 	// reads the whole answer again.
 	keep    bool
+	clock   clock.Clock
+	firstAt time.Time // when the first bytes came
+	events  int
 	begun   bool
 	code    int
 	header  map[string]string
@@ -40,8 +45,16 @@
 	lost bool
 }
 
-func newAnswer(keep bool) *answer {
-	return &answer{keep: keep, changed: make(chan struct{})}
+func newAnswer(keep bool, c clock.Clock) *answer {
+	return &answer{keep: keep, clock: c, changed: make(chan struct{})}
+}
+
+// pace returns when the first bytes came, zero if none did, and the number of
+// appended pieces, which for a stream is that of its events.
+func (a *answer) pace() (firstAt time.Time, events int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.firstAt, a.events
 }
 
 func (a *answer) wake() {
@@ -72,6 +85,10 @@
 		}
 		a.mu.Lock()
 	}
+	if a.firstAt.IsZero() {
+		a.firstAt = a.clock.Now()
+	}
+	a.events++
 	a.data = append(a.data, data...)
 	a.wake()
 	a.mu.Unlock()
@@ -91,13 +108,13 @@
 	a.wake()
 }
 
-// read returns the part from the offset on, waiting for one until the context
-// ends.
-func (a *answer) read(ctx context.Context, offset int64, max int) part {
+// read returns the part from the offset on. It waits until at least so many
+// bytes are there, the answer is over or the context ends.
+func (a *answer) read(ctx context.Context, offset int64, least, max int) part {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.acknowledge(offset)
-	for !a.final && a.first+int64(len(a.data)) <= offset {
+	for !a.final && a.first+int64(len(a.data)) < offset+int64(least) {
 		changed := a.changed
 		a.mu.Unlock()
 		select {
--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -54,7 +54,8 @@
 	}
 	r.readers.Add(1)
 	ctx, cancel := context.WithTimeout(context.Background(), min(args.Wait, maxReadWait))
-	p := r.answer.read(ctx, args.Offset, min(args.MaxBytes, maxReadBytes))
+	limit := min(args.MaxBytes, maxReadBytes)
+	p := r.answer.read(ctx, args.Offset, min(max(args.MinBytes, 1), limit), limit)
 	cancel()
 	r.lastRead.Store(a.deps.Clock.Now().UnixNano())
 	r.readers.Add(-1)
--- a/agent/run.go
+++ b/agent/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/statechart"
 )
@@ -32,13 +33,13 @@
 	cancel  context.CancelFunc
 }
 
-func newRun(args agentapi.SubmitArgs, tier int, keyed bool, now time.Time, chart *statechart.Chart) *run {
+func newRun(args agentapi.SubmitArgs, tier int, keyed bool, now time.Time, chart *statechart.Chart, c clock.Clock) *run {
 	r := &run{
 		args:    args,
 		tier:    tier,
 		keyed:   keyed,
 		arrived: now,
-		answer:  newAnswer(keyed),
+		answer:  newAnswer(keyed, c),
 		life:    chart.New(),
 	}
 	r.lastRead.Store(now.UnixNano())
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -9,6 +9,7 @@
 
 	"github.com/sesameswitch/sesameswitch/admission"
 	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/estimate"
 	"github.com/sesameswitch/sesameswitch/idempotency"
 	"github.com/sesameswitch/sesameswitch/manifest"
 	"github.com/sesameswitch/sesameswitch/outcome"
@@ -31,6 +32,7 @@
 	view      *manifest.View
 	queue     *admission.Queue
 	table     *idempotency.Table[*run]
+	estimates *estimate.Estimator
 	running   map[string]*run
 	ended     []*run // repeatable runs that are over but may still be read
 	forgotten time.Time
@@ -42,13 +44,14 @@
 
 func newScheduler(cfg Config, deps Dependencies, commands *ring.Ring[command]) *scheduler {
 	s := &scheduler{
-		cfg:      cfg,
-		deps:     deps,
-		commands: commands,
-		chart:    statechart.MustLoad("request"),
-		meters:   newMeters(deps.Metrics),
-		state:    agentapi.StateStarting,
-		running:  map[string]*run{},
+		cfg:       cfg,
+		deps:      deps,
+		commands:  commands,
+		chart:     statechart.MustLoad("request"),
+		meters:    newMeters(deps.Metrics),
+		state:     agentapi.StateStarting,
+		running:   map[string]*run{},
+		estimates: estimate.New(estimate.Config{}),
 	}
 	s.publish(deps.Clock.Now())
 	return s
@@ -126,7 +129,7 @@
 	if _, ok := s.runs.Load(args.ID); ok {
 		return agentapi.SubmitReply{Accepted: true, Joined: true, Status: *s.status.Load()}
 	}
-	r := newRun(*args, class.Tier, false, now, s.chart)
+	r := newRun(*args, class.Tier, false, now, s.chart, s.deps.Clock)
 	return s.offer(now, r, class)
 }
 
@@ -159,7 +162,7 @@
 	if args.Refuse != outcome.ReasonNone {
 		return s.seal(now, args)
 	}
-	fresh := func() *run { return newRun(*args, class.Tier, true, now, s.chart) }
+	fresh := func() *run { return newRun(*args, class.Tier, true, now, s.chart, s.deps.Clock) }
 	verdict, r, refusal := s.table.Claim(now, args.ID, args.Account, args.BodySum, fresh)
 	switch verdict {
 	case idempotency.New:
@@ -216,12 +219,40 @@
 		ID: r.args.ID, Class: class.Name, Account: r.args.Account, Weight: weight,
 		Arrived: now, Value: r,
 	}
-	if r.args.StartWithin > 0 {
-		q.StartBy = now.Add(r.args.StartWithin)
+	typical, known := s.estimates.Quantile(class.Name, r.args.Model, typicalQuantile)
+	if known {
+		q.Cost = typical.Whole
+	}
+	if r.args.TargetLeft > 0 {
+		lead := min(s.leadTime(r, class), r.args.TargetLeft*maxLeadPercent/100)
+		q.StartBy = now.Add(r.args.TargetLeft - lead)
 	}
 	return q
 }
 
+// leadTime is how long after its start a run will have met its target: at
+// its first token, or at its end for a target of the whole call.
+func (s *scheduler) leadTime(r *run, class *manifest.Class) time.Duration {
+	slow, known := s.estimates.Quantile(class.Name, r.args.Model, slowQuantile)
+	switch {
+	case !known:
+		return 0
+	case r.args.Stream && class.Targets.FirstToken > 0:
+		return slow.FirstToken
+	default:
+		return slow.Whole
+	}
+}
+
+// observe feeds the estimates with a run that completed.
+func (s *scheduler) observe(now time.Time, r *run) {
+	firstAt, events := r.answer.pace()
+	if firstAt.IsZero() {
+		firstAt = now
+	}
+	s.estimates.Observe(now, r.args.Class, r.args.Model, firstAt.Sub(r.started), now.Sub(r.started), events)
+}
+
 // refuse ends a run that has not started and seals its key.
 func (s *scheduler) refuse(now time.Time, r *run, refusal *outcome.Refusal) {
 	r.refuse(now, refusal)
@@ -287,6 +318,7 @@
 	switch {
 	case refusal == nil:
 		r.fire("finish")
+		s.observe(now, r)
 	case refusal.Reason == outcome.ReasonCancelled:
 		r.fire("cancel")
 	default:
--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -99,9 +99,9 @@
 	Stream bool
 	// ResumeAfter is the number of tokens that the caller already has.
 	ResumeAfter int
-	// StartWithin is how long the request may wait for its start, counted
-	// from its arrival at the agent.
-	StartWithin time.Duration
+	// TargetLeft is what is left of the class's latency target when the
+	// request arrives at the agent; zero is no target.
+	TargetLeft time.Duration
 	// Refuse asks the agent to seal the key without running it, unless it
 	// already ran. It is set when the entry would refuse the request.
 	Refuse outcome.Reason
@@ -125,6 +125,9 @@
 	Incarnation Incarnation
 	// Offset is the number of bytes that the reader already has.
 	Offset int64
+	// MinBytes is how much data is worth a reply before the answer is over; 0
+	// stands for any.
+	MinBytes int
 	// MaxBytes bounds the reply's data.
 	MaxBytes int
 	// Wait is how long the agent may wait for data before it answers empty.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -98,7 +98,7 @@
 		got.begun = false
 	}
 	args.Incarnation = chosen.incarnation
-	args.StartWithin = req.startWithin(sent)
+	args.TargetLeft = req.targetLeft(sent)
 	e.deps.Timeline.Record(timeline.AttemptSent, req.id, chosen.vm.Name)
 	refusal := e.submit(ctx, chosen, &args)
 	d := &delivery{entry: e, req: req, chosen: chosen, id: args.ID, got: got, out: out, sent: sent}
--- a/entry/delivery.go
+++ b/entry/delivery.go
@@ -98,6 +98,9 @@
 		ID: d.id, Account: d.req.account.Name, Incarnation: d.chosen.incarnation,
 		Offset: d.offset, MaxBytes: readBytes, Wait: wait,
 	}
+	if !d.req.args.Stream {
+		args.MinBytes = readBytes
+	}
 	var reply agentapi.ReadReply
 	err := d.entry.deps.Peers.Call(ctx, d.chosen.vm.Address, agentapi.MethodRead, args, &reply)
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,9 @@
 	reconnectPause = 100 * time.Millisecond
 	// stallTimeout gives up an attempt whose answer stops in the middle.
 	stallTimeout = 10 * time.Second
+	// wholePatience is how long an answer in one piece may take when its class
+	// has no target for the whole call.
+	wholePatience = 2 * time.Minute
 	// maxAttempts bounds the attempts that may have run.
 	maxAttempts = 3
 	// maxRefusals bounds the agents asked after one another for room.
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -42,7 +42,7 @@
 func (e *Entry) submitKeyed(ctx context.Context, req *request, chosen target, args *agentapi.SubmitArgs) *outcome.Refusal {
 	began := e.deps.Clock.Now()
 	for {
-		args.StartWithin = req.startWithin(e.deps.Clock.Now())
+		args.TargetLeft = req.targetLeft(e.deps.Clock.Now())
 		e.deps.Timeline.Record(timeline.AttemptSent, req.id, chosen.vm.Name)
 		refusal := e.submit(ctx, chosen, args)
 		if refusal == nil || refusal.Reason != outcome.ReasonConnection && refusal.Reason != outcome.ReasonTimeout {
--- a/entry/request.go
+++ b/entry/request.go
@@ -40,8 +40,8 @@
 	return r.class.Targets.Whole
 }
 
-// startWithin is what is left of the target at a moment.
-func (r *request) startWithin(now time.Time) time.Duration {
+// targetLeft is what is left of the target at a moment.
+func (r *request) targetLeft(now time.Time) time.Duration {
 	target := r.target()
 	if target == 0 {
 		return 0
@@ -53,10 +53,14 @@
 // answer before the agent is taken for stuck.
 func (r *request) patience() time.Duration {
 	target := r.target()
-	if target == 0 {
+	switch {
+	case target > 0:
+		return max(2*target, target+time.Second)
+	case r.args.Stream:
 		return stallTimeout
+	default:
+		return wholePatience
 	}
-	return max(2*target, target+time.Second)
 }
 
 // refusals is how many agents may refuse before the request is refused.
