Serve the earliest deadline among accounts within their share

Cause: the account that was served least went first even where the class had room for all, so the large account came late in the top tier at 3 times capacity: 97.2% in time, 99.9% for small accounts. The guard's own decay outweighed what it learnt.

What changed: an account is eligible while it is not ahead of its share, by a virtual time that advances with the service of the class; among eligible accounts the earliest deadline goes first. The guard halves in 5 minutes instead of one.

--- a/admission/class.go
+++ b/admission/class.go
@@ -22,12 +22,15 @@
 	// latest is the StartBy of the request admitted last.
 	latest  time.Time
 	service mean
-	// virtual is the virtual time of the class: the start of the flow served
-	// last.
+	// virtual is the virtual time of the class: the service that an account
+	// of weight one would have got so far, had it always been waiting.
 	virtual float64
 	flows   map[string]*flow
-	active  indexed[*flow]
-	byUse   indexed[*flow]
+	// eligible holds the active flows within their share, by the deadline of
+	// their first request; ahead holds the others, by their start.
+	eligible indexed[*flow]
+	ahead    indexed[*flow]
+	byUse    indexed[*flow]
 	// idle holds the flows with nothing queued whose past service still
 	// counts.
 	idle indexed[*flow]
@@ -43,15 +46,13 @@
 		before = startsBefore
 	}
 	c.before = before
-	c.active = indexed[*flow]{
-		less: func(a, b *flow) bool {
-			if a.start != b.start {
-				return a.start < b.start
-			}
-			return before(a.first.top(), b.first.top())
-		},
-		index: func(f *flow) *int { return &f.inActive },
+	inActive := func(f *flow) *int { return &f.inActive }
+	byStart := func(a, b *flow) bool { return a.start < b.start }
+	c.eligible = indexed[*flow]{
+		less:  func(a, b *flow) bool { return before(a.first.top(), b.first.top()) },
+		index: inActive,
 	}
+	c.ahead = indexed[*flow]{less: byStart, index: inActive}
 	c.byUse = indexed[*flow]{
 		less: func(a, b *flow) bool {
 			if a.use() != b.use() {
@@ -61,10 +62,7 @@
 		},
 		index: func(f *flow) *int { return &f.inUse },
 	}
-	c.idle = indexed[*flow]{
-		less:  func(a, b *flow) bool { return a.start < b.start },
-		index: func(f *flow) *int { return &f.inIdle },
-	}
+	c.idle = indexed[*flow]{less: byStart, index: func(f *flow) *int { return &f.inIdle }}
 	return c
 }
 
@@ -72,7 +70,7 @@
 func (c *classQueue) shared() int { return max(0, c.queued-c.reserved) }
 
 // head returns the request that the class would start next.
-func (c *classQueue) head() *Request { return c.active.top().first.top() }
+func (c *classQueue) head() *Request { return c.eligible.top().first.top() }
 
 // heaviest returns the flow with the most queued for its weight.
 func (c *classQueue) heaviest() *flow { return c.byUse.top() }
@@ -83,12 +81,13 @@
 	r.place.class = c
 	r.place.flow = f
 	if f.queued() == 1 {
-		c.active.add(f)
+		c.insert(f)
 		c.byUse.add(f)
 	} else {
-		c.active.fix(f)
+		c.active(f).fix(f)
 		c.byUse.fix(f)
 	}
+	c.promote()
 	c.queued++
 	c.work += r.place.cost
 	c.latest = r.StartBy
@@ -126,10 +125,10 @@
 	f := r.place.flow
 	if f.queued() > 1 {
 		f.remove(r)
-		c.active.fix(f)
+		c.active(f).fix(f)
 		c.byUse.fix(f)
 	} else {
-		c.active.remove(f)
+		c.active(f).remove(f)
 		c.byUse.remove(f)
 		f.remove(r)
 		c.weight -= f.weight
@@ -140,15 +139,47 @@
 	if c.queued == 0 {
 		c.weight = 0
 	}
+	c.promote()
 	c.forget()
 }
 
+// active returns the heap that holds the flow.
+func (c *classQueue) active(f *flow) *indexed[*flow] {
+	if f.eligible {
+		return &c.eligible
+	}
+	return &c.ahead
+}
+
+// insert puts the flow in the heap that its start asks for.
+func (c *classQueue) insert(f *flow) {
+	f.eligible = f.start <= c.virtual
+	c.active(f).add(f)
+}
+
+// promote moves flows that are within their share by now. When no account
+// is, the virtual time moves on to the first, so that no slot stays idle.
+func (c *classQueue) promote() {
+	if c.eligible.Len() == 0 && c.ahead.Len() > 0 {
+		c.virtual = max(c.virtual, c.ahead.top().start)
+	}
+	for c.ahead.Len() > 0 && c.ahead.top().start <= c.virtual {
+		f := c.ahead.top()
+		c.ahead.remove(f)
+		f.eligible = true
+		c.eligible.add(f)
+	}
+}
+
 // start takes the head and charges its cost to its account.
 func (c *classQueue) start() *Request {
 	r := c.head()
 	f := r.place.flow
-	c.virtual = f.start
-	f.start += max(r.place.cost.Seconds(), minCharge) / f.weight
+	charge := max(r.place.cost.Seconds(), minCharge)
+	c.virtual += charge / c.weight
+	f.start += charge / f.weight
+	c.eligible.remove(f)
+	c.insert(f)
 	c.remove(r)
 	return r
 }
--- a/admission/flow.go
+++ b/admission/flow.go
@@ -21,6 +21,8 @@
 	start float64
 	first indexed[*Request]
 	last  indexed[*Request]
+	// eligible says in which of the two heaps of active flows it is.
+	eligible bool
 	// Indexes in the heaps of the class.
 	inActive, inUse, inIdle int
 }
--- a/admission/guard.go
+++ b/admission/guard.go
@@ -19,7 +19,7 @@
 	// guardStep is what one close start adds, in slots.
 	guardStep = 0.25
 	// guardHalfLife is how fast the guard shrinks by itself.
-	guardHalfLife = time.Minute
+	guardHalfLife = 5 * time.Minute
 	// maxGuarded bounds the share of slots that is kept free.
 	maxGuarded = 0.5
 )
@@ -51,7 +51,7 @@
 		g.at = now
 	}
 	elapsed := now.Sub(g.at)
-	if elapsed < guardHalfLife/60 {
+	if elapsed < time.Second {
 		return
 	}
 	g.at = now
