--- a/ctl/status.go
+++ b/ctl/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -87,6 +88,7 @@
 	if err := out.table(rows); err != nil {
 		return err
 	}
+	out.printf("%s\n", summary(results))
 	for _, r := range results {
 		if r.Error != "" {
 			out.printf("%s: %s\n", r.Address, r.Error)
@@ -98,6 +100,27 @@
 	return nil
 }
 
+// summary counts the processes by the version in force.
+func summary(results []statusResult) string {
+	counts := make(map[uint64]int)
+	silent := 0
+	for _, r := range results {
+		if r.Status == nil {
+			silent++
+			continue
+		}
+		counts[r.Status.ConfigVersion]++
+	}
+	text := fmt.Sprintf("processes: %d", len(results))
+	for _, version := range slices.Backward(slices.Sorted(maps.Keys(counts))) {
+		text += fmt.Sprintf("; version %d: %d", version, counts[version])
+	}
+	if silent > 0 {
+		text += fmt.Sprintf("; no answer: %d", silent)
+	}
+	return text
+}
+
 func statusRow(r statusResult) []string {
 	if r.Status == nil {
 		return []string{"-", "-", "-", "no answer", "-", "-", "-", "-", r.Address}
