Space out the pictures of the state charts

Labels of edges between the same columns covered each other: they now stand a third of the way along, and columns and rows are further apart. Judged by drawing the elements of each picture to an image.

--- a/statechart/svg.go
+++ b/statechart/svg.go
@@ -10,12 +10,12 @@
 const (
 	boxWidth     = 110
 	boxHeight    = 36
-	columnWidth  = 230
-	rowHeight    = 100
+	columnWidth  = 270
+	rowHeight    = 120
 	margin       = 40
 	loopHeight   = 34
 	detourHeight = 34
-	detourWidth  = 90
+	detourWidth  = 70
 )
 
 const svgHead = `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 %[1]d %[2]d" width="%[1]d" height="%[2]d" font-family="sans-serif" font-size="13">
@@ -110,7 +110,7 @@
 	const half, wing = boxHeight / 2, boxWidth / 2
 	switch {
 	case from == to:
-		drawCurve(b, point{from.x - 18, from.y - half}, point{to.x + 18, to.y - half}, point{0, -loopHeight}, label)
+		drawCurve(b, point{from.x - 46, from.y - half}, point{to.x - 14, to.y - half}, point{0, -loopHeight}, label)
 	case from.x == to.x && from.y-to.y > rowHeight:
 		drawCurve(b, point{from.x - wing, from.y}, point{to.x - wing, to.y}, point{-detourWidth, 0}, label)
 	case from.x == to.x && to.y-from.y > rowHeight:
@@ -126,12 +126,14 @@
 	}
 }
 
-// drawCurve draws a curve with its label at the middle; bend moves the
-// curve's control point.
+// drawCurve draws a curve with its label a third of the way along it; bend
+// moves the curve's control point.
 func drawCurve(b *strings.Builder, from, to, bend point, label string) {
 	middle := point{(from.x+to.x)/2 + bend.x, (from.y+to.y)/2 + bend.y}
 	fmt.Fprintf(b, "<path d=\"M%d %dQ%d %d %d %d\" fill=\"none\" stroke=\"black\" marker-end=\"url(#arrow)\"/>\n",
 		from.x, from.y, middle.x, middle.y, to.x, to.y)
+	// A quadratic curve at t = 1/3 weighs its three points 4, 4 and 1.
+	text := point{(4*from.x + 4*middle.x + to.x) / 9, (4*from.y + 4*middle.y + to.y) / 9}
 	fmt.Fprintf(b, "<text x=\"%d\" y=\"%d\" text-anchor=\"middle\" paint-order=\"stroke\" stroke=\"white\" stroke-width=\"4\">%s</text>\n",
-		middle.x-bend.x/2, middle.y-bend.y/2-4, html.EscapeString(label))
+		text.x, text.y-4, html.EscapeString(label))
 }
