--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -80,11 +80,14 @@
 // conclude makes the final refusal of a repeatable request.
 func conclude(last *outcome.Refusal, mayHaveRun bool) *outcome.Refusal {
 	if last == nil {
-		return outcome.Refuse(outcome.ReasonNoBackendServer, "no backend server for it is reachable").After(time.Second)
+		return outcome.Refuse(outcome.ReasonNoBackendServer, "no backend server for it is reachable").After(defaultRetryAfter)
 	}
 	if mayHaveRun && last.Outcome == outcome.NotRun {
 		return outcome.Doubt(last.Reason, last.Detail).After(last.RetryAfter)
 	}
+	if last.Outcome == outcome.NotRun && last.RetryAfter == 0 {
+		return last.After(defaultRetryAfter)
+	}
 	return last
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,7 +64,10 @@
 	// maxBufferedAnswer bounds an answer that is given in one piece.
 	maxBufferedAnswer = 16 << 20
 	// minRetriesPerSecond is the retry budget of an entry with little traffic.
-	minRetriesPerSecond = 1
+	minRetriesPerSecond = 10
+	// defaultRetryAfter is when to come back after a refusal that names no
+	// time of its own.
+	defaultRetryAfter = time.Second
 )
 
 // Caller calls the processes of the system.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -234,10 +234,10 @@
 // identify completes a request with its identity: the idempotency key where
 // the class needs one.
 func (e *Entry) identify(ctx iris.Context, c caller, req *request) *outcome.Refusal {
-	req.version = c.view.Version()
+	req.retryShare = c.view.Manifest.Limits.RetryBudget
 	req.args.RequestID = req.id
 	req.args.Entry = e.cfg.VM.Name
-	req.args.ConfigVersion = req.version
+	req.args.ConfigVersion = c.view.Version()
 	req.args.Account = c.account.Name
 	req.args.Class = req.class.Name
 	req.args.Keyed = req.keyed()
@@ -290,6 +290,7 @@
 	} else {
 		out = newBufferSink(ctx.ResponseWriter(), req.id)
 	}
+	e.budget.SetShare(req.retryShare)
 	e.budget.Request(e.deps.Clock.Now())
 	refusal := e.serve(ctx.Request().Context(), req, out)
 	out.end(refusal)
--- a/entry/request.go
+++ b/entry/request.go
@@ -14,7 +14,6 @@
 type request struct {
 	id       string
 	received time.Time
-	version  uint64
 	account  *manifest.ClientAccount
 	class    *manifest.Class
 	// key is set for requests that run at most once.
@@ -22,6 +21,8 @@
 	keyText string
 	args    agentapi.SubmitArgs
 	route   routing.Request
+	// retryShare is the share of requests that may be retries.
+	retryShare float64
 	// refuse is why the entry would refuse a request with a key; the agent
 	// decides, since the key may have been used through another entry.
 	refuse outcome.Reason
