Refuse early by the pace of the class

Cause: in the overload model most requests of the lower tiers that did not run were told so at their deadline only: the estimate of the wait knew what was queued but not what higher tiers would still send.

What changed: below the top tier, the wait is not less than the gaps between the class's starts give. Expire also takes queued requests that by this pace will not start in time, from the account with the most queued.

--- a/admission/class.go
+++ b/admission/class.go
@@ -22,6 +22,7 @@
 	// latest is the StartBy of the request admitted last.
 	latest  time.Time
 	service mean
+	pace    pace
 	// virtual is the virtual time of the class: the service that an account
 	// of weight one would have got so far, had it always been waiting.
 	virtual float64
@@ -172,7 +173,7 @@
 }
 
 // start takes the head and charges its cost to its account.
-func (c *classQueue) start() *Request {
+func (c *classQueue) start(now time.Time) *Request {
 	r := c.head()
 	f := r.place.flow
 	charge := max(r.place.cost.Seconds(), minCharge)
@@ -181,6 +182,7 @@
 	c.eligible.remove(f)
 	c.insert(f)
 	c.remove(r)
+	c.pace.started(now, c.queued == 0)
 	return r
 }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -193,7 +193,7 @@
 	q.trace(Event{At: now, Action: ActionStart, Via: via, Request: c.head()})
 	q.observeWait(now, c.head())
 	q.accrue(c)
-	r = c.start()
+	r = c.start(now)
 	q.untrack(r)
 	q.running++
 	c.running++
@@ -267,7 +267,8 @@
 	started.credit = max(0, started.credit-1)
 }
 
-// Expire takes the requests that can no longer start in time.
+// Expire takes the requests that can no longer start in time, and those that
+// by what was seen will not. They did not run and are answered at once.
 func (q *Queue) Expire(now time.Time) []*Request {
 	var expired []*Request
 	for q.expiry.Len() > 0 && q.expiry.top().StartBy.Before(now) {
@@ -277,7 +278,7 @@
 		q.take(r)
 		expired = append(expired, r)
 	}
-	return expired
+	return append(expired, q.giveUp(now)...)
 }
 
 // NextExpiry returns the time after which Expire has something to take.
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -39,7 +39,8 @@
 
 // wait estimates how long r would wait if it joined class c now. It depends
 // on queued requests of the same and of higher tiers only; lower tiers count
-// by their floors, whether or not they have anything queued.
+// by their floors, whether or not they have anything queued. Below the
+// top tier it is not less than the class's own pace gives.
 func (q *Queue) wait(c *classQueue, r *Request) time.Duration {
 	own, position := c.workBefore(r)
 	ahead := own + q.workAhead(c, r)
@@ -49,7 +50,11 @@
 	viaTier := divide(ahead+q.service.value, float64(q.cfg.Slots)*(1-q.floorsBelow[c.tier]))
 	viaFloor := divide(q.service.value, float64(q.cfg.Slots)*c.floor)
 	viaFloor = scale(viaFloor, max(1, position+1-c.credit))
-	return min(viaTier, viaFloor)
+	wait := min(viaTier, viaFloor)
+	if c.tier != topTier {
+		wait = max(wait, c.pace.wait(position+1))
+	}
+	return wait
 }
 
 // workAhead returns the queued work of other classes that goes before r.
