--- a/agent/execute.go
+++ b/agent/execute.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return failure(ctx, err)
 	}
-	defer reply.Body.Close()
+	defer func() { _ = reply.Body.Close() }() // the answer was read or given up
 	r.answer.begin(reply.Status, reply.Header)
 	if r.args.Stream && reply.Status == 200 {
 		err = copyEvents(ctx, r.answer, reply.Body, r.args.ResumeAfter)
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -9,6 +9,7 @@
 
 	"github.com/sesameswitch/sesameswitch/admission"
 	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/estimate"
 	"github.com/sesameswitch/sesameswitch/idempotency"
 	"github.com/sesameswitch/sesameswitch/manifest"
 	"github.com/sesameswitch/sesameswitch/outcome"
@@ -31,6 +32,7 @@
 	view      *manifest.View
 	queue     *admission.Queue
 	table     *idempotency.Table[*run]
+	estimates *estimate.Estimator
 	running   map[string]*run
 	ended     []*run // repeatable runs that are over but may still be read
 	forgotten time.Time
@@ -42,13 +44,14 @@
 
 func newScheduler(cfg Config, deps Dependencies, commands *ring.Ring[command]) *scheduler {
 	s := &scheduler{
-		cfg:      cfg,
-		deps:     deps,
-		commands: commands,
-		chart:    statechart.MustLoad("request"),
-		meters:   newMeters(deps.Metrics),
-		state:    agentapi.StateStarting,
-		running:  map[string]*run{},
+		cfg:       cfg,
+		deps:      deps,
+		commands:  commands,
+		chart:     statechart.MustLoad("request"),
+		meters:    newMeters(deps.Metrics),
+		state:     agentapi.StateStarting,
+		running:   map[string]*run{},
+		estimates: estimate.New(estimate.Config{}),
 	}
 	s.publish(deps.Clock.Now())
 	return s
@@ -92,6 +95,7 @@
 		})
 		return
 	}
+	s.table.Configure(limits.KeysPerAgent, limits.KeyValidity)
 	for _, r := range s.queue.Reconfigure(cfg) {
 		s.refuse(now, r.Value.(*run), outcome.Refuse(outcome.ReasonStaleConfig, "the class is no longer configured"))
 	}
@@ -125,7 +129,7 @@
 	if _, ok := s.runs.Load(args.ID); ok {
 		return agentapi.SubmitReply{Accepted: true, Joined: true, Status: *s.status.Load()}
 	}
-	r := newRun(*args, class.Tier, false, now, s.chart)
+	r := newRun(*args, class.Tier, false, now, s.chart, s.deps.Clock)
 	return s.offer(now, r, class)
 }
 
@@ -158,7 +162,7 @@
 	if args.Refuse != outcome.ReasonNone {
 		return s.seal(now, args)
 	}
-	fresh := func() *run { return newRun(*args, class.Tier, true, now, s.chart) }
+	fresh := func() *run { return newRun(*args, class.Tier, true, now, s.chart, s.deps.Clock) }
 	verdict, r, refusal := s.table.Claim(now, args.ID, args.Account, args.BodySum, fresh)
 	switch verdict {
 	case idempotency.New:
@@ -174,7 +178,7 @@
 // seal refuses a key for good unless it was accepted before.
 func (s *scheduler) seal(now time.Time, args *agentapi.SubmitArgs) agentapi.SubmitReply {
 	refusal := outcome.Refuse(args.Refuse, "refused by the entry").After(time.Second)
-	verdict, _, refusal := s.table.Seal(now, args.ID, args.Account, refusal)
+	verdict, _, refusal := s.table.Seal(now, args.ID, args.Account, args.BodySum, refusal)
 	if verdict == idempotency.Joined {
 		return agentapi.SubmitReply{Accepted: true, Joined: true, Status: *s.status.Load()}
 	}
@@ -202,7 +206,7 @@
 	}
 	r.fire("queue")
 	s.runs.Store(r.args.ID, r)
-	s.deps.Timeline.Record(timeline.KindRunQueued, r.args.RequestID, r.args.Class)
+	s.deps.Timeline.Record(timeline.RunQueued, r.args.RequestID, r.args.Class)
 	return agentapi.SubmitReply{Accepted: true, Status: *s.status.Load()}
 }
 
@@ -215,19 +219,47 @@
 		ID: r.args.ID, Class: class.Name, Account: r.args.Account, Weight: weight,
 		Arrived: now, Value: r,
 	}
-	if r.args.StartWithin > 0 {
-		q.StartBy = now.Add(r.args.StartWithin)
+	typical, known := s.estimates.Quantile(class.Name, r.args.Model, typicalQuantile)
+	if known {
+		q.Cost = typical.Whole
+	}
+	if r.args.TargetLeft > 0 {
+		lead := min(s.leadTime(r, class), r.args.TargetLeft*maxLeadPercent/100)
+		q.StartBy = now.Add(r.args.TargetLeft - lead)
 	}
 	return q
 }
 
+// leadTime is how long after its start a run will have met its target: at
+// its first token, or at its end for a target of the whole call.
+func (s *scheduler) leadTime(r *run, class *manifest.Class) time.Duration {
+	slow, known := s.estimates.Quantile(class.Name, r.args.Model, slowQuantile)
+	switch {
+	case !known:
+		return 0
+	case r.args.Stream && class.Targets.FirstToken > 0:
+		return slow.FirstToken
+	default:
+		return slow.Whole
+	}
+}
+
+// observe feeds the estimates with a run that completed.
+func (s *scheduler) observe(now time.Time, r *run) {
+	firstAt, events := r.answer.pace()
+	if firstAt.IsZero() {
+		firstAt = now
+	}
+	s.estimates.Observe(now, r.args.Class, r.args.Model, firstAt.Sub(r.started), now.Sub(r.started), events)
+}
+
 // refuse ends a run that has not started and seals its key.
 func (s *scheduler) refuse(now time.Time, r *run, refusal *outcome.Refusal) {
 	r.refuse(now, refusal)
 	s.meters.refused(refusal.Reason)
-	s.deps.Timeline.Record(timeline.KindRunShed, r.args.RequestID, string(refusal.Reason))
+	s.deps.Timeline.Record(timeline.RunShed, r.args.RequestID, string(refusal.Reason))
 	if r.keyed {
-		s.table.Seal(now, r.args.ID, r.args.Account, refusal)
+		s.table.Withdraw(r.args.ID, refusal)
 		return
 	}
 	if _, ok := s.runs.Load(r.args.ID); ok {
@@ -236,7 +268,7 @@
 }
 
 func (s *scheduler) refused(args *agentapi.SubmitArgs, refusal *outcome.Refusal) agentapi.SubmitReply {
-	s.deps.Timeline.Record(timeline.KindAttemptRefused, args.RequestID, string(refusal.Reason))
+	s.deps.Timeline.Record(timeline.AttemptRefused, args.RequestID, string(refusal.Reason))
 	return agentapi.SubmitReply{Refusal: refusal, Status: *s.status.Load()}
 }
 
@@ -270,7 +302,7 @@
 	r.cancel = cancel
 	s.running[r.args.ID] = r
 	s.meters.started(r.args.Class, now.Sub(r.arrived))
-	s.deps.Timeline.Record(timeline.KindRunStarted, r.args.RequestID, "via "+via)
+	s.deps.Timeline.Record(timeline.RunStarted, r.args.RequestID, "via "+via)
 	go func() {
 		refusal := execute(runCtx, s.deps.BackendServer, r)
 		cancel()
@@ -286,6 +318,7 @@
 	switch {
 	case refusal == nil:
 		r.fire("finish")
+		s.observe(now, r)
 	case refusal.Reason == outcome.ReasonCancelled:
 		r.fire("cancel")
 	default:
@@ -293,7 +326,7 @@
 	}
 	r.answer.finish(refusal)
 	s.meters.finished(r.args.Class, now.Sub(r.started), refusal)
-	s.deps.Timeline.Record(timeline.KindRunFinished, r.args.RequestID, r.life.State())
+	s.deps.Timeline.Record(timeline.RunFinished, r.args.RequestID, r.life.State())
 	if !r.keyed {
 		s.ended = append(s.ended, r)
 	}
@@ -317,7 +350,7 @@
 		s.refuse(now, r, outcome.Refuse(outcome.ReasonCancelled, "the caller gave up"))
 		return
 	}
-	s.deps.Timeline.Record(timeline.KindRunCancelled, r.args.RequestID, "")
+	s.deps.Timeline.Record(timeline.RunCancelled, r.args.RequestID, "")
 	r.cancel()
 }
 
@@ -340,7 +373,7 @@
 		return
 	}
 	s.state = state
-	s.deps.Timeline.Record(timeline.KindProcessState, "", string(state))
+	s.deps.Timeline.Record(timeline.ProcessState, "", string(state))
 	s.deps.Log.WithField("state", state).Info("agent changed state")
 	if state != agentapi.StateLeaving {
 		return
