--- /dev/null
+++ b/cmd/sesame-slopes/main.go
@@ -0,0 +1,53 @@
+// Command sesame-slopes measures how the cost of coordination grows with the
+// size of a deployment, and prints the points.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sesameswitch/sesameswitch/settings"
+	"github.com/sesameswitch/sesameswitch/slopes"
+)
+
+// flags are the settings of the measurement.
+type flags struct {
+	Output        string `default:"text" validate:"oneof=text json" help:"Format of the result: text or json."`
+	Processes     []int  `default:"50,100,200,300" help:"Sizes of fleets."`
+	Agents        []int  `default:"8,24,96" help:"Numbers of agents that an entry keeps heartbeats with."`
+	Accounts      []int  `default:"10,1000,9400" help:"Numbers of client accounts."`
+	Keys          []int  `default:"10000,100000" help:"Numbers of keys in an at-most-once table."`
+	FleetAccounts int    `default:"10" validate:"min=1" help:"Client accounts in the manifest of the fleets."`
+}
+
+func main() {
+	var f flags
+	program := settings.Program{Name: "sesame-slopes", Description: "Measures how coordination grows."}
+	proceed, code := settings.Load(&f, program, os.Args[1:], os.Stdout, os.Stderr)
+	if !proceed {
+		os.Exit(code)
+	}
+	logrus.SetOutput(io.Discard)
+	if err := run(&f); err != nil {
+		fmt.Fprintln(os.Stderr, eris.ToString(err, false))
+		os.Exit(settings.ExitFailure)
+	}
+}
+
+func run(f *flags) error {
+	report, err := slopes.Measure(slopes.Sizes{
+		Processes: f.Processes, Agents: f.Agents, Accounts: f.Accounts, Keys: f.Keys, FleetAccounts: f.FleetAccounts,
+	}, os.Stderr)
+	if err != nil {
+		return err
+	}
+	if f.Output == "json" {
+		return json.NewEncoder(os.Stdout).Encode(report)
+	}
+	return report.WriteText(os.Stdout)
+}
