Leave out heartbeats on connections that carry calls

Cause: each connection between peers sent a heartbeat a second besides its calls. A heartbeat is now sent only after a second without bytes one way or the other.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -19,6 +19,9 @@
 	idle    time.Duration
 	write   time.Duration
 	traffic *Traffic
+	// readAt and wroteAt are when bytes last came and went, in Unix
+	// nanoseconds.
+	readAt, wroteAt atomic.Int64
 }
 
 func newConn(c net.Conn, cfg Config, traffic *Traffic) *conn {
@@ -32,6 +35,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.traffic.Read.Add(int64(n))
+	c.readAt.Store(time.Now().UnixNano())
 	return n, err
 }
 
@@ -42,5 +46,12 @@
 	}
 	n, err := c.Conn.Write(p)
 	c.traffic.Written.Add(int64(n))
+	c.wroteAt.Store(time.Now().UnixNano())
 	return n, err
 }
+
+// quietFor returns the time since bytes last came or last went, whichever is
+// longer ago.
+func (c *conn) quietFor() time.Duration {
+	return time.Duration(time.Now().UnixNano() - min(c.readAt.Load(), c.wroteAt.Load()))
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -176,3 +176,18 @@
 	defer s.mu.Unlock()
 	return len(s.conns)
 }
+
+func TestHeartbeatOnlyAfterSilence(t *testing.T) {
+	c := &conn{}
+	now := time.Now()
+	c.readAt.Store(now.UnixNano())
+	c.wroteAt.Store(now.Add(-time.Hour).UnixNano())
+	if quiet := c.quietFor(); quiet < time.Hour {
+		t.Fatalf("quiet for %v though nothing was written for an hour", quiet)
+	}
+	c.readAt.Store(now.Add(-time.Hour).UnixNano())
+	c.wroteAt.Store(now.UnixNano())
+	if quiet := c.quietFor(); quiet < time.Hour {
+		t.Fatalf("quiet for %v though nothing was read for an hour", quiet)
+	}
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -185,7 +185,8 @@
 		l.failed()
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
-	client := rpc.NewClient(newConn(raw, cfg, &l.pool.traffic))
+	c := newConn(raw, cfg, &l.pool.traffic)
+	client := rpc.NewClient(c)
 	if err := ping(client, cfg.DialTimeout); err != nil {
 		client.Close()
 		l.failed()
@@ -195,7 +196,7 @@
 	l.mu.Lock()
 	l.rpc, l.stop = client, stop
 	l.mu.Unlock()
-	go l.heartbeat(client, stop)
+	go l.heartbeat(c, client, stop)
 	return client, nil
 }
 
@@ -205,24 +206,30 @@
 	l.failedAt = time.Now()
 }
 
-// heartbeat keeps bytes coming on a connection that works and drops one that
-// does not.
-func (l *link) heartbeat(client *rpc.Client, stop chan struct{}) {
-	ticker := time.NewTicker(l.pool.cfg.HeartbeatInterval)
-	defer ticker.Stop()
+// heartbeat keeps bytes going both ways on a connection that works and drops
+// one that does not. Calls and answers make a heartbeat superfluous.
+func (l *link) heartbeat(c *conn, client *rpc.Client, stop chan struct{}) {
+	interval := l.pool.cfg.HeartbeatInterval
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-stop:
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		if l.retire(client) {
 			return
 		}
+		if quiet := c.quietFor(); quiet < interval {
+			timer.Reset(interval - quiet)
+			continue
+		}
 		if err := ping(client, l.pool.cfg.IdleTimeout); err != nil {
 			l.drop(client)
 			return
 		}
+		timer.Reset(interval)
 	}
 }
 
