Answer slow and flooded headers with a problem document

Cause: net/http closes a connection whose headers come too slowly without a word and cuts off large headers with plain text, so a caller learned nothing and nothing was counted. The caller's connection now answers 408, and headers over 16 KiB get 431, both as problem documents.

Ruled out: replacing the server's parser. Beyond 128 KiB of headers the server still cuts off on its own, with plain text.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/processstatus"
 )
 
@@ -18,7 +19,10 @@
 	readHeaderTimeout = 5 * time.Second
 	readBodyTimeout   = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 32 << 10
+	// maxHeaders bounds the headers of a request, in bytes. The HTTP server
+	// itself cuts off a caller that sends more than maxHeaderBytes.
+	maxHeaders     = 16 << 10
+	maxHeaderBytes = 128 << 10
 	// lameDuck is how long a draining entry still accepts requests, so that
 	// the platform's balancer can take it out first.
 	lameDuck = 3 * time.Second
@@ -40,13 +44,15 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{entry: e, listener: listener, shut: make(chan struct{})}
+	slow := func() { e.meters.refused("", outcome.ReasonSlowRequest) }
+	d := &Daemon{entry: e, listener: callerListener{Listener: listener, slow: slow}, shut: make(chan struct{})}
 	d.server = &http.Server{
 		Handler:           d.outer(handler),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readBodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       connContext,
 	}
 	return d, nil
 }
@@ -54,6 +60,12 @@
 // outer serves health checks and counts requests in flight.
 func (d *Daemon) outer(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer enter(r)()
+		if headersTooLarge(r.Header) {
+			d.entry.meters.refused("", outcome.ReasonHeadersTooLarge)
+			writeProblem(w, newID(), outcome.Refuse(outcome.ReasonHeadersTooLarge, "the headers are too large"))
+			return
+		}
 		switch r.URL.Path {
 		case "/healthz":
 			w.WriteHeader(http.StatusOK)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -129,6 +129,7 @@
 type bench struct {
 	network *network
 	entries []http.Handler
+	list    []*Entry
 	agents  []*agent.Agent
 }
 
@@ -194,6 +195,7 @@
 		t.Fatal(err)
 	}
 	b.entries = append(b.entries, handler)
+	b.list = append(b.list, e)
 }
 
 func run(t *testing.T, duty func(context.Context) error) {
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -34,6 +34,8 @@
 	ReasonNone             Reason = ""
 	ReasonBadRequest       Reason = "bad_request"
 	ReasonTooLarge         Reason = "too_large"
+	ReasonHeadersTooLarge  Reason = "headers_too_large"
+	ReasonSlowRequest      Reason = "slow_request"
 	ReasonUnauthenticated  Reason = "unauthenticated"
 	ReasonForbidden        Reason = "forbidden"
 	ReasonNotFound         Reason = "not_found"
--- a/outcome/problem.go
+++ b/outcome/problem.go
@@ -33,6 +33,8 @@
 var statuses = map[Reason]int{
 	ReasonBadRequest:       http.StatusBadRequest,
 	ReasonTooLarge:         http.StatusRequestEntityTooLarge,
+	ReasonHeadersTooLarge:  http.StatusRequestHeaderFieldsTooLarge,
+	ReasonSlowRequest:      http.StatusRequestTimeout,
 	ReasonUnauthenticated:  http.StatusUnauthorized,
 	ReasonForbidden:        http.StatusForbidden,
 	ReasonNotFound:         http.StatusNotFound,
