Choose agents by estimated completion

Cause: the choice was the least outstanding of all candidates: it trusts nothing but its own count, keeps no prefix together and looks at the whole fleet.

What changed: the entry estimates the completion from its own outstanding requests and from how slow each agent was against what the kind of work takes elsewhere; reports add what other entries have there, and count half after 2 s. Silent agents, refusals and other data centres add time. A prefix has a preferred agent that counts 0.7. At most 16 random candidates are weighed.

--- a/routing/routing.go
+++ b/routing/routing.go
@@ -1,9 +1,15 @@
-// Package routing is an entry's choice among agents. It does no I/O; time and
-// randomness are injected. A Router is not safe for concurrent use.
+// Package routing is an entry's choice among agents: by the completion time
+// that it estimates from what the entry saw itself, corrected by the agents'
+// reports for as long as they are fresh. It does no I/O; time and randomness
+// are injected. A Router is safe for concurrent use.
+//
+// A caller may rely on Pick looking at a few candidates only and allocating
+// nothing, and on it choosing some fit candidate whenever there is one. A
+// wrong or old report costs time, never the choice of an agent that is not
+// serving. docs/design/routing.md gives the ways weighed.
 package routing
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
@@ -28,10 +34,14 @@
 	Policy Policy
 	// DataCentre is the entry's own; its agents come first.
 	DataCentre string
-	// Choices is how many candidates are compared.
+	// Choices is how many local candidates, and how many of all, are
+	// compared.
 	Choices int
 }
 
+// DefaultChoices is the default of Config.Choices.
+const DefaultChoices = 8
+
 // Candidate is what an entry knows of one agent at the time of a choice.
 type Candidate struct {
 	VM         string
@@ -86,35 +96,10 @@
 	Whole time.Duration
 	// Wait is the time to come back that a refusal told.
 	Wait time.Duration
+	// Tier is the tier of the request; a refusal counts for it and the tiers
+	// below.
+	Tier int
+	// Class and Model tell requests of unlike length apart.
+	Class string
+	Model string
 }
-
-// Router chooses agents.
-type Router struct {
-	cfg  Config
-	rng  *rand.Rand
-	turn int
-}
-
-// New returns a router that has seen nothing.
-func New(cfg Config, rng *rand.Rand) *Router { return &Router{cfg: cfg, rng: rng} }
-
-// Pick returns the index of the chosen candidate; ok is false when none is
-// fit.
-func (r *Router) Pick(_ time.Time, req *Request, candidates []Candidate) (index int, ok bool) {
-	best := -1
-	for i := range candidates {
-		at := (r.turn + i) % len(candidates)
-		c := &candidates[at]
-		if c.State != agentapi.StateServing || !c.Allowed || req.Excluded[c.VM] {
-			continue
-		}
-		if best < 0 || c.Outstanding < candidates[best].Outstanding {
-			best = at
-		}
-	}
-	r.turn++
-	return best, best >= 0
-}
-
-// Observe takes in what happened to a request at the VM's agent.
-func (r *Router) Observe(_ time.Time, _ string, _ Observation) {}
