--- a/slopes/heartbeat.go
+++ b/slopes/heartbeat.go
@@ -3,18 +3,30 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/clock"
+	"github.com/sesameswitch/sesameswitch/configsync"
+	"github.com/sesameswitch/sesameswitch/entry"
+	"github.com/sesameswitch/sesameswitch/membership"
 	"github.com/sesameswitch/sesameswitch/peer"
+	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/telemetry"
+	"github.com/sesameswitch/sesameswitch/timeline"
 )
 
-// heartbeatTime is how long heartbeats are measured.
-const heartbeatTime = 6 * time.Second
+const (
+	// heartbeatTime is how long heartbeats are measured.
+	heartbeatTime = 9 * time.Second
+	// timelineEvents bounds the time line of a measured entry.
+	timelineEvents = 1024
+)
 
 // HeartbeatPoint is what an entry's heartbeats with idle agents cost.
 type HeartbeatPoint struct {
@@ -38,38 +50,61 @@
 	return nil
 }
 
-// MeasureHeartbeats has one entry ask a number of idle agents for their status
-// once a second.
+// MeasureHeartbeats runs an entry beside a number of idle agents, all of
+// them in its subset, and counts what its heartbeats cost.
 func MeasureHeartbeats(agents int) (HeartbeatPoint, error) {
 	point := HeartbeatPoint{Agents: agents}
 	pool := peer.NewPool(peer.DefaultConfig())
 	defer pool.Close()
-	var addresses []string
+	vms := make([]platform.VM, agents)
 	for i := range agents {
 		address, stop, err := serveStatus(i)
 		if err != nil {
 			return point, err
 		}
 		defer stop()
-		addresses = append(addresses, address)
+		vms[i] = platform.VM{
+			Name: fmt.Sprintf("vm-%04d", i), Address: address, DataCentre: "dc-1",
+			Role: platform.RoleAgent, State: platform.VMLive,
+		}
 	}
-	beat(pool, addresses)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e := newEntry(pool, vms)
+	go func() { _ = e.Run(ctx) }() // ends with the context
+	time.Sleep(settleTime)
 	traffic := pool.Traffic()
 	start, cpu := time.Now(), processorTime()
-	bytes := traffic.Read.Load() + traffic.Written.Load()
-	for time.Since(start) < heartbeatTime {
-		next := time.Now().Add(time.Second)
-		beat(pool, addresses)
-		time.Sleep(time.Until(next))
-	}
+	from := traffic.Read.Load() + traffic.Written.Load()
+	time.Sleep(heartbeatTime)
 	seconds := time.Since(start).Seconds()
-	bytes = traffic.Read.Load() + traffic.Written.Load() - bytes
+	bytes := traffic.Read.Load() + traffic.Written.Load() - from
 	point.BytesPerSecond = float64(bytes) / seconds
 	point.PerAgent = point.BytesPerSecond / float64(agents)
 	point.CorePercent = 100 * (processorTime() - cpu).Seconds() / seconds
 	return point, nil
 }
 
+// newEntry wires an entry that knows the agents and has no callers.
+func newEntry(pool *peer.Pool, agents []platform.VM) *entry.Entry {
+	c := clock.New()
+	self := platform.VM{Name: "vm-entry", Address: "127.0.0.1:1", DataCentre: "dc-1", Role: platform.RoleEntry, State: platform.VMLive}
+	members := membership.NewTable(self, c)
+	members.Apply(append([]platform.VM{self}, agents...))
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	process := timeline.Process{VM: self.Name, Role: string(self.Role), DataCentre: self.DataCentre, Incarnation: "life"}
+	return entry.New(entry.Config{VM: self, SubsetSize: len(agents)}, entry.Dependencies{
+		Peers:         pool,
+		Configuration: configsync.NewStore(c, configsync.Hooks{}),
+		Members:       members,
+		Clock:         c,
+		Metrics:       telemetry.New(),
+		Timeline:      timeline.New(process, timelineEvents, c),
+		Log:           log,
+	})
+}
+
 // serveStatus starts an agent that answers heartbeats only.
 func serveStatus(i int) (address string, stop func(), err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -89,17 +124,3 @@
 	go func() { _ = server.Serve(listener) }() // ends with the listener
 	return listener.Addr().String(), func() { listener.Close(); server.Close() }, nil
 }
-
-// beat asks every agent once.
-func beat(pool *peer.Pool, addresses []string) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	var calls sync.WaitGroup
-	for _, address := range addresses {
-		calls.Go(func() {
-			args := agentapi.StatusArgs{Entry: "vm-0001", ConfigVersion: 584_000}
-			_ = pool.Call(ctx, address, agentapi.MethodStatus, args, &agentapi.StatusReply{})
-		})
-	}
-	calls.Wait()
-}
