--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -69,3 +70,22 @@
 		t.Errorf("unknown flag: %v, %d\n%s", ok, code, stderr)
 	}
 }
+
+type paired struct {
+	Low  int `default:"1" validate:"min=1"`
+	High int `default:"2" validate:"max=9"`
+}
+
+func (p *paired) Validate() error {
+	if p.Low > p.High {
+		return errors.New("--low is above --high")
+	}
+	return nil
+}
+
+func TestFaultsBetweenFieldsAreFoundToo(t *testing.T) {
+	ok, code, _, stderr := load(t, &paired{}, "--low=20", "--high=10")
+	if ok || code != ExitUsage || !strings.Contains(stderr, "--low is above --high") || !strings.Contains(stderr, "--high must be at most 9") {
+		t.Errorf("%v, %d\n%s", ok, code, stderr)
+	}
+}
