Bring the first part of an answer with the reply to a submission

Cause: a plain call cost two round trips between entry and agent, one to submit and one to read. The agent now answers an accepted submission with the first part of the answer; the status rides only on first and last parts.

Ruled out: sending both calls at once; the agent would have to hold reads of runs that it does not know yet.

A submission whose reply is lost is followed by a read: the agent may have the run, and tells.

--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -18,8 +18,9 @@
 	return &Service{agent: a}
 }
 
-// Submit offers a request. The reply comes at once: accepted, joined to an
-// earlier run of the same key, or refused.
+// Submit offers a request: it is accepted, joined to an earlier run of the
+// same key, or refused. A refusal comes at once. The reply to an accepted
+// request waits for the first part of the answer when that was asked for.
 func (s *Service) Submit(args agentapi.SubmitArgs, reply *agentapi.SubmitReply) error {
 	a := s.agent
 	if a.deps.Heard != nil {
@@ -31,6 +32,9 @@
 		return nil
 	}
 	*reply = <-answers
+	if reply.Accepted && args.Read.Wait > 0 {
+		reply.First = a.read(&args.Read)
+	}
 	return nil
 }
 
@@ -46,30 +50,42 @@
 
 // Read returns a part of a run's answer, waiting for data up to args.Wait.
 func (s *Service) Read(args agentapi.ReadArgs, reply *agentapi.ReadReply) error {
-	a := s.agent
+	*reply = s.agent.read(&args)
+	return nil
+}
+
+func (a *Agent) read(args *agentapi.ReadArgs) agentapi.ReadReply {
 	r := a.find(args)
-	reply.Status = a.Status()
 	if r == nil {
-		return nil
+		return agentapi.ReadReply{Status: a.Status()}
 	}
+	p := a.await(r, args)
+	reply := agentapi.ReadReply{
+		Known: !p.lost, Begun: p.begun, Code: p.code, Header: p.header, Data: p.data,
+		Final: p.final, Refusal: p.refusal, Length: p.length,
+	}
+	if args.Offset == 0 || p.final {
+		reply.Status = a.Status()
+	}
+	return reply
+}
+
+// await waits for a part of a run's answer and notes that it is read.
+func (a *Agent) await(r *run, args *agentapi.ReadArgs) part {
 	r.readers.Add(1)
+	defer r.readers.Add(-1)
 	ctx, cancel := context.WithTimeout(context.Background(), min(args.Wait, maxReadWait))
+	defer cancel()
 	limit := min(args.MaxBytes, maxReadBytes)
 	p := r.answer.read(ctx, args.Offset, min(max(args.MinBytes, 1), limit), limit)
-	cancel()
 	r.lastRead.Store(a.deps.Clock.Now().UnixNano())
-	r.readers.Add(-1)
 	if p.final {
 		r.delivered.Store(true)
 	}
-	*reply = agentapi.ReadReply{
-		Known: !p.lost, Begun: p.begun, Code: p.code, Header: p.header, Data: p.data,
-		Final: p.final, Refusal: p.refusal, Length: p.length, Status: a.Status(),
-	}
-	return nil
+	return p
 }
 
-func (a *Agent) find(args agentapi.ReadArgs) *run {
+func (a *Agent) find(args *agentapi.ReadArgs) *run {
 	if args.Incarnation != "" && args.Incarnation != a.cfg.Incarnation {
 		return nil
 	}
--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -102,6 +102,9 @@
 	// TargetLeft is what is left of the class's latency target when the
 	// request arrives at the agent; zero is no target.
 	TargetLeft time.Duration
+	// Read, with Wait above zero, asks for the first part of the answer in the
+	// reply, as a call of Read from offset 0 would.
+	Read ReadArgs
 	// Refuse asks the agent to seal the key without running it, unless it
 	// already ran. It is set when the entry would refuse the request.
 	Refuse outcome.Reason
@@ -115,7 +118,9 @@
 	Joined bool
 	// Refusal is set when the request was not accepted.
 	Refusal *outcome.Refusal
-	Status  Status
+	// First is the first part of the answer, when it was asked for.
+	First  ReadReply
+	Status Status
 }
 
 // ReadArgs asks for a part of a run's answer.
@@ -151,6 +156,7 @@
 	Refusal *outcome.Refusal
 	// Length is the length of the whole answer, in bytes, once Final.
 	Length int64
+	// Status is set with the first and the last part.
 	Status Status
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/outcome"
+	"github.com/sesameswitch/sesameswitch/peer"
 	"github.com/sesameswitch/sesameswitch/routing"
 	"github.com/sesameswitch/sesameswitch/timeline"
 )
@@ -103,10 +104,10 @@
 	args.Incarnation = chosen.incarnation
 	args.TargetLeft = req.targetLeft(sent)
 	e.deps.Timeline.Record(timeline.AttemptSent, req.id, chosen.vm.Name)
-	refusal := e.submit(ctx, chosen, &args)
 	d := &delivery{entry: e, req: req, chosen: chosen, id: args.ID, got: got, out: out, sent: sent}
+	first, refusal := e.submit(ctx, d, &args)
 	if refusal == nil {
-		refusal = d.run(ctx)
+		refusal = d.run(ctx, first)
 	}
 	if refusal != nil && refusal.Outcome == outcome.Unknown {
 		go e.cancel(chosen, &args, refusal.Reason)
@@ -130,25 +131,33 @@
 	}
 }
 
-// submit offers the request to the agent.
-func (e *Entry) submit(ctx context.Context, chosen target, args *agentapi.SubmitArgs) *outcome.Refusal {
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+// submit offers the request to the agent and returns the first part of its
+// answer. When the reply is lost the part is nil: the agent may have the run,
+// and reading tells.
+func (e *Entry) submit(ctx context.Context, d *delivery, args *agentapi.SubmitArgs) (*agentapi.ReadReply, *outcome.Refusal) {
+	args.Read = d.readArgs(e.deps.Clock.Now())
+	ctx, cancel := context.WithTimeout(ctx, args.Read.Wait+readSlack)
 	defer cancel()
 	var reply agentapi.SubmitReply
-	if err := e.deps.Peers.Call(ctx, chosen.vm.Address, agentapi.MethodSubmit, *args, &reply); err != nil {
-		return callFailure(err)
+	err := e.deps.Peers.Call(ctx, d.chosen.vm.Address, agentapi.MethodSubmit, *args, &reply)
+	switch {
+	case err == nil:
+	case peer.NotSent(err) || ctx.Err() != nil:
+		return nil, callFailure(err)
+	default:
+		return nil, nil
 	}
-	e.agents.heard(chosen.vm, &reply.Status)
-	if reply.Accepted {
-		e.deps.Timeline.Record(timeline.AttemptAccepted, args.RequestID, chosen.vm.Name)
-		return nil
+	e.agents.heard(d.chosen.vm, &reply.Status)
+	if !reply.Accepted {
+		return nil, reply.Refusal
 	}
-	return reply.Refusal
+	e.deps.Timeline.Record(timeline.AttemptAccepted, args.RequestID, d.chosen.vm.Name)
+	return &reply.First, nil
 }
 
 // cancel tells an agent that nobody waits for the run.
 func (e *Entry) cancel(chosen target, args *agentapi.SubmitArgs, reason outcome.Reason) {
-	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	message := agentapi.CancelArgs{ID: args.ID, Account: args.Account, Reason: reason}
 	var reply agentapi.CancelReply
--- a/entry/delivery.go
+++ b/entry/delivery.go
@@ -28,47 +28,61 @@
 	sent   time.Time
 
 	offset     int64
-	tail       []byte // the start of an event whose end is still to come
+	movedAt    time.Time // when bytes last came
+	tail       []byte    // the start of an event whose end is still to come
 	firstBytes time.Duration
 }
 
-// run reads until the answer is whole, the agent reports a failure, or the
-// agent is out of reach for longer than the reconnect window.
-func (d *delivery) run(ctx context.Context) *outcome.Refusal {
-	quietSince := d.entry.deps.Clock.Now()
+// run takes the first part, unless it is nil, and reads until the answer is
+// whole, the agent reports a failure, or the agent is out of reach for longer
+// than the reconnect window.
+func (d *delivery) run(ctx context.Context, reply *agentapi.ReadReply) *outcome.Refusal {
+	d.movedAt = d.entry.deps.Clock.Now()
 	var lostAt time.Time
 	for {
-		reply, err := d.read(ctx, quietSince)
-		now := d.entry.deps.Clock.Now()
+		if reply != nil {
+			lostAt = time.Time{}
+			if over, refusal := d.accept(reply); over {
+				return refusal
+			}
+		}
+		var err error
+		reply, err = d.read(ctx)
 		if ctx.Err() != nil {
 			return outcome.Doubt(outcome.ReasonCancelled, "the caller gave up")
 		}
-		if err != nil {
-			if lostAt.IsZero() {
-				lostAt = now
-			}
-			if now.Sub(lostAt) > d.reconnectWindow() {
-				return outcome.Doubt(outcome.ReasonConnection, "the agent that has the answer cannot be reached")
-			}
-			pause(ctx, reconnectPause)
+		if err == nil {
 			continue
 		}
-		lostAt = time.Time{}
-		if !reply.Known {
-			return outcome.Doubt(outcome.ReasonConnection, "the agent lost the answer")
-		}
-		if len(reply.Data) > 0 {
-			quietSince = now
-		}
-		if over, refusal := d.take(reply); over {
-			return refusal
+		now := d.entry.deps.Clock.Now()
+		if lostAt.IsZero() {
+			lostAt = now
 		}
-		if now.Sub(quietSince) > d.patience() {
-			return outcome.Doubt(outcome.ReasonTimeout, "the backend server does not answer")
+		if now.Sub(lostAt) > d.reconnectWindow() {
+			return outcome.Doubt(outcome.ReasonConnection, "the agent that has the answer cannot be reached")
 		}
+		pause(ctx, reconnectPause)
 	}
 }
 
+// accept takes a part and reports whether the delivery is over.
+func (d *delivery) accept(reply *agentapi.ReadReply) (over bool, refusal *outcome.Refusal) {
+	if !reply.Known {
+		return true, outcome.Doubt(outcome.ReasonConnection, "the agent lost the answer")
+	}
+	now := d.entry.deps.Clock.Now()
+	if len(reply.Data) > 0 {
+		d.movedAt = now
+	}
+	if over, refusal := d.take(reply); over {
+		return true, refusal
+	}
+	if now.Sub(d.movedAt) > d.patience() {
+		return true, outcome.Doubt(outcome.ReasonTimeout, "the backend server does not answer")
+	}
+	return false, nil
+}
+
 // patience is how long the answer may stand still.
 func (d *delivery) patience() time.Duration {
 	if d.req.keyed() {
@@ -88,19 +102,27 @@
 	return failoverWindow
 }
 
-// read asks for the next part, waiting no longer than the patience allows.
-func (d *delivery) read(ctx context.Context, quietSince time.Time) (*agentapi.ReadReply, error) {
-	left := d.patience() - d.entry.since(quietSince)
-	wait := min(readWait, max(left, time.Millisecond))
-	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
-	defer cancel()
+// readArgs asks for the next part, waiting no longer than the patience allows.
+func (d *delivery) readArgs(now time.Time) agentapi.ReadArgs {
+	left := d.patience()
+	if !d.movedAt.IsZero() {
+		left -= now.Sub(d.movedAt)
+	}
 	args := agentapi.ReadArgs{
 		ID: d.id, Account: d.req.account.Name, Incarnation: d.chosen.incarnation,
-		Offset: d.offset, MaxBytes: readBytes, Wait: wait,
+		Offset: d.offset, MaxBytes: readBytes, Wait: min(readWait, max(left, time.Millisecond)),
 	}
 	if !d.req.args.Stream {
 		args.MinBytes = readBytes
 	}
+	return args
+}
+
+// read asks for the next part.
+func (d *delivery) read(ctx context.Context) (*agentapi.ReadReply, error) {
+	args := d.readArgs(d.entry.deps.Clock.Now())
+	ctx, cancel := context.WithTimeout(ctx, args.Wait+readSlack)
+	defer cancel()
 	var reply agentapi.ReadReply
 	err := d.entry.deps.Peers.Call(ctx, d.chosen.vm.Address, agentapi.MethodRead, args, &reply)
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,8 +34,8 @@
 	heartbeatInterval = time.Second
 	// heartbeatTimeout bounds one heartbeat.
 	heartbeatTimeout = time.Second
-	// submitTimeout bounds one submission.
-	submitTimeout = 2 * time.Second
+	// cancelTimeout bounds the message that a run is given up.
+	cancelTimeout = 2 * time.Second
 	// readWait is how long one read waits at the agent for data.
 	readWait = 10 * time.Second
 	// readSlack is added to readWait for the way there and back.
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -27,29 +27,35 @@
 	args.ID = req.keyText
 	args.Incarnation = chosen.incarnation
 	args.Refuse = req.refuse
-	refusal := e.submitKeyed(ctx, req, chosen, &args)
-	if refusal != nil {
-		return refusal
-	}
 	d := &delivery{
 		entry: e, req: req, chosen: chosen, id: args.ID,
 		got: &progress{}, out: out, sent: e.deps.Clock.Now(),
 	}
-	return d.run(ctx)
+	first, refusal := e.submitKeyed(ctx, req, d, &args)
+	if refusal != nil {
+		return refusal
+	}
+	return d.run(ctx, first)
 }
 
 // submitKeyed submits until the agent answers or the reconnect window ends.
-func (e *Entry) submitKeyed(ctx context.Context, req *request, chosen target, args *agentapi.SubmitArgs) *outcome.Refusal {
+func (e *Entry) submitKeyed(ctx context.Context, req *request, d *delivery, args *agentapi.SubmitArgs) (*agentapi.ReadReply, *outcome.Refusal) {
 	began := e.deps.Clock.Now()
 	for {
 		args.TargetLeft = req.targetLeft(e.deps.Clock.Now())
-		e.deps.Timeline.Record(timeline.AttemptSent, req.id, chosen.vm.Name)
-		refusal := e.submit(ctx, chosen, args)
-		if refusal == nil || refusal.Reason != outcome.ReasonConnection && refusal.Reason != outcome.ReasonTimeout {
-			return refusal
+		e.deps.Timeline.Record(timeline.AttemptSent, req.id, d.chosen.vm.Name)
+		first, refusal := e.submit(ctx, d, args)
+		if first != nil {
+			return first, nil
+		}
+		if refusal == nil {
+			refusal = outcome.Doubt(outcome.ReasonConnection, "the connection to the agent was lost")
+		}
+		if refusal.Reason != outcome.ReasonConnection && refusal.Reason != outcome.ReasonTimeout {
+			return nil, refusal
 		}
 		if ctx.Err() != nil || e.since(began) > reconnectWindow {
-			return outcome.Doubt(refusal.Reason, refusal.Detail).After(refusal.RetryAfter)
+			return nil, outcome.Doubt(refusal.Reason, refusal.Detail).After(refusal.RetryAfter)
 		}
 		pause(ctx, reconnectPause)
 	}
