--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -133,7 +134,7 @@
 	agents  []*agent.Agent
 }
 
-func newBench(t *testing.T, manifest []byte, servers ...*server) *bench {
+func newBench(t testing.TB, manifest []byte, servers ...*server) *bench {
 	t.Helper()
 	b := &bench{network: &network{agents: map[string]*agent.Service{}}}
 	var vms []platform.VM
@@ -154,7 +155,7 @@
 	return log
 }
 
-func storeOf(t *testing.T, manifest []byte) *configsync.Store {
+func storeOf(t testing.TB, manifest []byte) *configsync.Store {
 	t.Helper()
 	store := configsync.NewStore(clock.New(), configsync.Hooks{})
 	if _, err := store.Offer(manifest, configsync.SourceService); err != nil {
@@ -163,7 +164,7 @@
 	return store
 }
 
-func (b *bench) addAgent(t *testing.T, manifest []byte, vm platform.VM, s *server) {
+func (b *bench) addAgent(t testing.TB, manifest []byte, vm platform.VM, s *server) {
 	c := clock.New()
 	a := agent.New(agent.Config{
 		VM: vm, Incarnation: agentapi.Incarnation("life-of-" + vm.Name),
@@ -174,11 +175,14 @@
 	})
 	run(t, a.Run)
 	a.Serve()
+	for a.Status().State != agentapi.StateServing {
+		runtime.Gosched()
+	}
 	b.agents = append(b.agents, a)
 	b.network.agents[vm.Address] = agent.NewService(a)
 }
 
-func (b *bench) addEntry(t *testing.T, manifest []byte, name string, vms []platform.VM) {
+func (b *bench) addEntry(t testing.TB, manifest []byte, name string, vms []platform.VM) {
 	t.Helper()
 	c := clock.New()
 	self := platform.VM{Name: name, Role: platform.RoleEntry, State: platform.VMLive}
@@ -198,7 +202,7 @@
 	b.list = append(b.list, e)
 }
 
-func run(t *testing.T, duty func(context.Context) error) {
+func run(t testing.TB, duty func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- duty(ctx) }()
