--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -92,13 +92,16 @@
 	// BodySum is the SHA-256 of method, path and body; a repeat of a key must
 	// carry the same.
 	BodySum [32]byte
+	// Keyed says that the entry knows the request to run at most once and ID
+	// to be its idempotency key.
+	Keyed bool
 	// Stream says that the answer is a server-sent event stream.
 	Stream bool
 	// ResumeAfter is the number of tokens that the caller already has.
 	ResumeAfter int
-	// StartWithin is how long the request may wait for its start, counted
-	// from its arrival at the agent.
-	StartWithin time.Duration
+	// TargetLeft is what is left of the class's latency target when the
+	// request arrives at the agent; zero is no target.
+	TargetLeft time.Duration
 	// Refuse asks the agent to seal the key without running it, unless it
 	// already ran. It is set when the entry would refuse the request.
 	Refuse outcome.Reason
@@ -122,6 +125,9 @@
 	Incarnation Incarnation
 	// Offset is the number of bytes that the reader already has.
 	Offset int64
+	// MinBytes is how much data is worth a reply before the answer is over; 0
+	// stands for any.
+	MinBytes int
 	// MaxBytes bounds the reply's data.
 	MaxBytes int
 	// Wait is how long the agent may wait for data before it answers empty.
