Add experiments: open-loop load against real processes

Cause: policies could not be compared under the same arrivals. Ruled out: closed-loop callers, which slow down with the system that they measure; a library of charts, since bars need none.

--- a/cmd/sesamectl/main.go
+++ b/cmd/sesamectl/main.go
@@ -19,6 +19,7 @@
 	"github.com/willabides/kongplete"
 
 	"github.com/sesameswitch/sesameswitch/ctl"
+	"github.com/sesameswitch/sesameswitch/load"
 	"github.com/sesameswitch/sesameswitch/settings"
 )
 
@@ -32,6 +33,7 @@
 	Timeline ctl.Timeline `cmd:"" help:"Merge the events of processes, from them or from files, in order."`
 	Charts   ctl.Charts   `cmd:"" help:"Print the state charts that the processes follow."`
 	Schema   ctl.Schema   `cmd:"" help:"Print the JSON Schema of the manifest."`
+	Load     load.Command `cmd:"" help:"Run experiments against real processes and report what came of them."`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print shell completion for the login shell."`
 }
--- /dev/null
+++ b/load/cluster.go
@@ -0,0 +1,169 @@
+package load
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesameswitch/sesameswitch/manifest"
+	"github.com/sesameswitch/sesameswitch/standin/engine"
+	"github.com/sesameswitch/sesameswitch/testbed"
+)
+
+const (
+	modelName      = "model"
+	readyTimeout   = 20 * time.Second
+	engineQueue    = 4096
+	maxModelTokens = 100_000
+)
+
+// accountKey is the bearer key of an account of an experiment.
+func accountKey(account string) string { return "key-of-" + account }
+
+// manifestOf returns the configuration of a scenario.
+func manifestOf(s *Scenario) ([]byte, error) {
+	m := manifest.Manifest{
+		Version:    1,
+		Deployment: "experiment",
+		Models:     []manifest.Model{{Name: modelName, MaxTokens: maxModelTokens}},
+	}
+	route := manifest.Route{Model: modelName}
+	for i := range s.Classes {
+		m.Classes = append(m.Classes, s.Classes[i].Class)
+		route.Classes = append(route.Classes, s.Classes[i].Name)
+	}
+	m.Routes = []manifest.Route{route}
+	for _, account := range s.Accounts {
+		sum := sha256.Sum256([]byte(accountKey(account.Name)))
+		m.Accounts = append(m.Accounts, manifest.ClientAccount{
+			Name:      account.Name,
+			KeyHashes: []string{hex.EncodeToString(sum[:])},
+			Weight:    account.Weight,
+		})
+	}
+	return yaml.Marshal(m)
+}
+
+// cluster is a deployment under load.
+type cluster struct {
+	bed     *testbed.Bed
+	engines []*testbed.Process
+	agents  []*testbed.Process
+	entries []*testbed.Process
+}
+
+// startCluster starts all processes of a scenario and waits until they are
+// ready. The caller closes the bed.
+func startCluster(ctx context.Context, s *Scenario, bin, logs, policy string) (*cluster, error) {
+	bed, err := testbed.New(bin, logs)
+	if err != nil {
+		return nil, err
+	}
+	c := &cluster{bed: bed}
+	if err := c.start(ctx, s, policy); err != nil {
+		bed.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *cluster) start(ctx context.Context, s *Scenario, policy string) error {
+	document, err := manifestOf(s)
+	if err != nil {
+		return err
+	}
+	if err := c.bed.Publish(document); err != nil {
+		return err
+	}
+	for i := range s.Engines.Count {
+		if err := c.startBackend(s, i, policy); err != nil {
+			return err
+		}
+	}
+	for i := range s.Entries {
+		entry, err := c.bed.StartEntry(testbed.Entry{VM: fmt.Sprintf("entry-%d", i), DataCentre: "dc1", Policy: policy})
+		if err != nil {
+			return err
+		}
+		c.entries = append(c.entries, entry)
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	return c.bed.AwaitReady(ctx, append(append([]*testbed.Process{}, c.agents...), c.entries...)...)
+}
+
+// startBackend starts an engine and its agent. The engine keeps its address
+// when it is started again.
+func (c *cluster) startBackend(s *Scenario, i int, policy string) error {
+	address, err := testbed.FreeAddress()
+	if err != nil {
+		return err
+	}
+	e := &s.Engines
+	standin, err := c.bed.Start(fmt.Sprintf("engine-%d", i), "sesame-standin", "engine",
+		"--listen", address,
+		"--models", modelName,
+		"--slots", strconv.Itoa(e.Slots),
+		"--max-waiting", strconv.Itoa(engineQueue),
+		"--step-time", e.StepTime.String(),
+		"--step-growth", strconv.FormatFloat(e.StepGrowth, 'g', -1, 64),
+		"--first-token", e.FirstToken.String(),
+		"--prompt-token", e.PromptToken.String(),
+		"--load-lag", e.LoadLag.String(),
+	)
+	if err != nil {
+		return err
+	}
+	c.engines = append(c.engines, standin)
+	agent, err := c.bed.StartAgent(testbed.Agent{
+		VM: fmt.Sprintf("agent-%d", i), DataCentre: "dc1", Backend: standin,
+		Models: modelName, Slots: e.Slots, Policy: policy,
+	})
+	if err != nil {
+		return err
+	}
+	c.agents = append(c.agents, agent)
+	return nil
+}
+
+// counters reads the counters of one engine.
+func (c *cluster) counters(ctx context.Context, i int) (engine.Counters, error) {
+	var report engine.CounterReport
+	url := "http://" + c.engines[i].Address("") + "/admin/counters?runs=0"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return report.Counters, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return report.Counters, eris.Wrap(err, "engine counters")
+	}
+	defer response.Body.Close()
+	err = json.NewDecoder(response.Body).Decode(&report)
+	return report.Counters, eris.Wrap(err, "engine counters")
+}
+
+// readCounters reads the counters of all engines; those that do not answer
+// are left at zero.
+func (c *cluster) readCounters(ctx context.Context) []engine.Counters {
+	all := make([]engine.Counters, len(c.engines))
+	var group errgroup.Group
+	for i := range c.engines {
+		group.Go(func() error {
+			var err error
+			all[i], err = c.counters(ctx, i)
+			return err
+		})
+	}
+	_ = group.Wait() // an engine that is down has no counters
+	return all
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,137 @@
+package load
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// line is a summary in one line, for progress.
+func (s *Summary) line() string {
+	var line strings.Builder
+	for i := range s.Classes {
+		class := &s.Classes[i]
+		fmt.Fprintf(&line, "%s %.1f%%, ", class.Name, 100*class.Attainment)
+	}
+	fmt.Fprintf(&line, "goodput %.1f/s, wasted %d of %d tokens, refusals %s",
+		s.Goodput, s.Wasted, s.Generated, reasons(s.Reasons))
+	return line.String()
+}
+
+func reasons(counts map[string]int) string {
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, fmt.Sprintf("%s %d", name, counts[name]))
+	}
+	if len(parts) == 0 {
+		return "none"
+	}
+	return strings.Join(parts, ", ")
+}
+
+func writeJSON(path string, value any) error {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), 0o644)
+}
+
+// writeCSV writes a row for each class of each run.
+func writeCSV(path string, summaries []Summary) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	w := csv.NewWriter(file)
+	_ = w.Write([]string{ // Error reports a failed write
+		"scenario", "policy", "class", "tier", "planned", "completed", "refused", "broken", "out_of_patience", "failed",
+		"wrong", "hung_up", "attainment", "first_token_p50_ms", "first_token_p95_ms", "first_token_p99_ms",
+		"between_tokens_p50_ms", "between_tokens_p95_ms", "between_tokens_p99_ms", "longest_gap_ms",
+		"run_goodput_per_s", "run_wasted_tokens", "run_generated_tokens",
+	})
+	for i := range summaries {
+		for j := range summaries[i].Classes {
+			_ = w.Write(row(&summaries[i], &summaries[i].Classes[j]))
+		}
+	}
+	w.Flush()
+	return w.Error()
+}
+
+func row(s *Summary, c *ClassSummary) []string {
+	number := func(f float64) string { return strconv.FormatFloat(f, 'f', 3, 64) }
+	cells := []string{s.Scenario, s.Policy, c.Name, strconv.Itoa(c.Tier), strconv.Itoa(c.Planned)}
+	for _, end := range []End{EndCompleted, EndRefused, EndBroken, EndImpatient, EndFailed, EndWrong, EndHungUp} {
+		cells = append(cells, strconv.Itoa(c.Ends[end]))
+	}
+	cells = append(cells, number(c.Attainment))
+	for _, p := range []Percentiles{c.FirstToken, c.BetweenTokens} {
+		cells = append(cells, number(p.P50), number(p.P95), number(p.P99))
+	}
+	return append(cells,
+		strconv.FormatInt(c.LongestGapMillis, 10),
+		number(s.Goodput),
+		strconv.FormatUint(s.Wasted, 10),
+		strconv.FormatUint(s.Generated, 10))
+}
+
+// Markdown returns the table of the runs: a row for each scenario and policy.
+func Markdown(scenarios []*Scenario, summaries []Summary) string {
+	var page strings.Builder
+	page.WriteString("| scenario | policy | attainment by class (tier) | goodput /s | wasted tokens | longest gap | ends other than completed |\n")
+	page.WriteString("|---|---|---|---:|---:|---|---|\n")
+	for _, scenario := range scenarios {
+		for i := range summaries {
+			if s := &summaries[i]; s.Scenario == scenario.Name {
+				page.WriteString(s.markdownRow())
+			}
+		}
+	}
+	return page.String()
+}
+
+func (s *Summary) markdownRow() string {
+	var attainment, gaps []string
+	ends := map[string]int{}
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		attainment = append(attainment, fmt.Sprintf("%s (%d) %.1f%%", c.Name, c.Tier, 100*c.Attainment))
+		gaps = append(gaps, fmt.Sprintf("%.1f s", float64(c.LongestGapMillis)/1000))
+		for end, n := range c.Ends {
+			if end != EndCompleted {
+				ends[string(end)] += n
+			}
+		}
+	}
+	wastedPart := 100 * float64(s.Wasted) / float64(max(1, s.Generated))
+	return fmt.Sprintf("| %s | %s | %s | %.1f | %d (%.0f%%) | %s | %s |\n", s.Scenario, s.Policy,
+		strings.Join(attainment, ", "), s.Goodput, s.Wasted, wastedPart, strings.Join(gaps, ", "), reasons(ends))
+}
+
+// replaceMarked replaces what stands between the markers of a section.
+func replaceMarked(path, section, text string) error {
+	begin, end := "<!-- begin "+section+" -->\n", "<!-- end "+section+" -->"
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	head, rest, found := strings.Cut(string(data), begin)
+	_, tail, ended := strings.Cut(rest, end)
+	if !found || !ended {
+		return eris.Errorf("%s has no markers of %s", path, section)
+	}
+	return os.WriteFile(path, []byte(head+begin+text+end+tail), 0o644)
+}
