--- a/limit/limit.go
+++ b/limit/limit.go
@@ -1,5 +1,13 @@
-// Package limit bounds the requests of each client account. It does no I/O;
-// time is passed in. A Limiter is safe for concurrent use.
+// Package limit bounds the requests of each client account at one entry,
+// without shared state. It does no I/O; time is passed in. A Limiter is safe
+// for concurrent use.
+//
+// Each entry gives its share of the account's rate and burst. A caller may
+// rely on this bound: while n entries agree on their number, they let through
+// at most rate*t + n*ceil(burst/n) requests of an account and class in any
+// time t. An entry that counts too few others lets through more than its
+// share, by the factor that it is wrong by, until its view is corrected; one
+// whose bucket was dropped at Config.MaxBuckets starts with a full burst.
 package limit
 
 import (
@@ -12,10 +20,11 @@
 
 // Config configures a Limiter. Zero fields take the defaults.
 type Config struct {
-	// IdleAfter is how long an unused bucket is kept.
+	// IdleAfter is how long an unused bucket is kept at least. It is kept
+	// until it is full again, so that dropping it changes nothing.
 	IdleAfter time.Duration
-	// MaxBuckets bounds the buckets; beyond it the one used least recently
-	// goes.
+	// MaxBuckets bounds the buckets; beyond it one that was not used for
+	// long goes.
 	MaxBuckets int
 }
 
@@ -66,7 +75,7 @@
 		return true, 0
 	}
 	missing := 1 - b.limiter.TokensAt(now)
-	return false, time.Duration(missing / share * float64(time.Second))
+	return false, time.Duration(math.Ceil(missing / share * float64(time.Second)))
 }
 
 // split returns one entry's share of the rate and of the burst.
@@ -84,6 +93,7 @@
 	l.sweep(now)
 	b, found := l.buckets[k]
 	if !found {
+		l.makeRoom()
 		b = &bucket{limiter: rate.NewLimiter(rate.Limit(share), size)}
 		l.buckets[k] = b
 	}
@@ -97,6 +107,30 @@
 	return b
 }
 
+// sampledBuckets is how many buckets are looked at to find one to drop.
+const sampledBuckets = 8
+
+// makeRoom drops the bucket used least recently among a few, if the limiter
+// is full.
+func (l *Limiter) makeRoom() {
+	if len(l.buckets) < l.cfg.MaxBuckets {
+		return
+	}
+	var oldest key
+	var at time.Time
+	seen := 0
+	for k, b := range l.buckets {
+		if at.IsZero() || b.used.Before(at) {
+			oldest, at = k, b.used
+		}
+		seen++
+		if seen == sampledBuckets {
+			break
+		}
+	}
+	delete(l.buckets, oldest)
+}
+
 // sweep drops the buckets that were idle for long.
 func (l *Limiter) sweep(now time.Time) {
 	if now.Sub(l.swept) < l.cfg.IdleAfter/2 {
@@ -104,7 +138,8 @@
 	}
 	l.swept = now
 	for k, b := range l.buckets {
-		if now.Sub(b.used) > l.cfg.IdleAfter {
+		full := b.limiter.TokensAt(now) >= float64(b.limiter.Burst())
+		if full && now.Sub(b.used) > l.cfg.IdleAfter {
 			delete(l.buckets, k)
 		}
 	}
