Tell the router of every attempt, with its class and tier

Cause: attempts were reported at their first token and end only, without class, model and tier, and those by key not at all. So an agent that accepts and never answers was not found by its silence, lengths of all classes were mixed, and an agent that could not be reached counted as one that refused, which its breaker never saw.

What changed: each attempt reports when it is sent; observations carry class, model and tier; lost connections, timeouts and failures of the backend server count as failures of the agent, all other refusals as refusals.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -201,6 +201,16 @@
 	}
 }
 
+// begin counts an attempt at an agent that was not picked but named by a key.
+func (t *agentTable) begin(chosen target, o routing.Observation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if view, ok := t.agents[chosen.vm.Name]; ok {
+		view.outstanding++
+	}
+	t.router.Observe(t.deps.Clock.Now(), chosen.vm.Name, o)
+}
+
 // done takes back the count of an attempt and learns from how it went.
 func (t *agentTable) done(chosen target, o routing.Observation) {
 	now := t.deps.Clock.Now()
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -103,8 +103,9 @@
 	args.Incarnation = chosen.incarnation
 	args.TargetLeft = req.targetLeft(sent)
 	e.deps.Timeline.Record(timeline.AttemptSent, req.id, chosen.vm.Name)
-	refusal := e.submit(ctx, chosen, &args)
 	d := &delivery{entry: e, req: req, chosen: chosen, id: args.ID, got: got, out: out, sent: sent}
+	e.agents.observe(chosen, d.seen(routing.KindSent))
+	refusal := e.submit(ctx, chosen, &args)
 	if refusal == nil {
 		refusal = d.run(ctx)
 	}
@@ -119,14 +120,16 @@
 	return e.deps.Clock.Now().Sub(t)
 }
 
+// kindOf tells what a refusal says of the agent. One that could not be reached
+// has failed, although the request did not run.
 func kindOf(refusal *outcome.Refusal) routing.Kind {
-	switch {
-	case refusal.Reason == outcome.ReasonCancelled:
+	switch refusal.Reason {
+	case outcome.ReasonCancelled:
 		return routing.KindCancelled
-	case refusal.Outcome == outcome.NotRun:
-		return routing.KindRefused
-	default:
+	case outcome.ReasonConnection, outcome.ReasonTimeout, outcome.ReasonBackendServer:
 		return routing.KindFailed
+	default:
+		return routing.KindRefused
 	}
 }
 
--- a/entry/delivery.go
+++ b/entry/delivery.go
@@ -121,7 +121,7 @@
 	}
 	if d.firstBytes == 0 && len(reply.Data) > 0 {
 		d.firstBytes = d.entry.since(d.sent)
-		d.entry.agents.observe(d.chosen, routing.Observation{Kind: routing.KindFirstToken, FirstToken: d.firstBytes})
+		d.entry.agents.observe(d.chosen, d.seen(routing.KindFirstToken))
 	}
 	if err := d.pass(reply.Data); err != nil {
 		return true, outcome.Doubt(outcome.ReasonCancelled, "the caller gave up")
@@ -180,9 +180,17 @@
 	p.events += bytes.Count(events, eventEnd)
 }
 
+// seen is an observation of the attempt at this moment.
+func (d *delivery) seen(kind routing.Kind) routing.Observation {
+	return routing.Observation{
+		Kind: kind, FirstToken: d.firstBytes, Whole: d.entry.since(d.sent),
+		Tier: d.req.class.Tier, Class: d.req.class.Name, Model: d.req.args.Model,
+	}
+}
+
 // observation says how the attempt went.
 func (d *delivery) observation(refusal *outcome.Refusal) routing.Observation {
-	o := routing.Observation{Kind: routing.KindCompleted, FirstToken: d.firstBytes, Whole: d.entry.since(d.sent)}
+	o := d.seen(routing.KindCompleted)
 	if refusal != nil {
 		o.Kind = kindOf(refusal)
 		o.Wait = refusal.RetryAfter
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -6,6 +6,7 @@
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/outcome"
+	"github.com/sesameswitch/sesameswitch/routing"
 	"github.com/sesameswitch/sesameswitch/timeline"
 )
 
@@ -27,15 +28,17 @@
 	args.ID = req.keyText
 	args.Incarnation = chosen.incarnation
 	args.Refuse = req.refuse
-	refusal := e.submitKeyed(ctx, req, chosen, &args)
-	if refusal != nil {
-		return refusal
-	}
 	d := &delivery{
 		entry: e, req: req, chosen: chosen, id: args.ID,
 		got: &progress{}, out: out, sent: e.deps.Clock.Now(),
 	}
-	return d.run(ctx)
+	e.agents.begin(chosen, d.seen(routing.KindSent))
+	refusal := e.submitKeyed(ctx, req, chosen, &args)
+	if refusal == nil {
+		refusal = d.run(ctx)
+	}
+	e.agents.done(chosen, d.observation(refusal))
+	return refusal
 }
 
 // submitKeyed submits until the agent answers or the reconnect window ends.
