Tell evicted and expired requests when to come back by the queue

Cause: they were told the published wait of their tier, with neither the account's share nor jitter, so all of one eviction came back together, after a second at least.

What changed: the queue's own time to come back is used, and a request that lost its place to a shorter queue is told so instead of a missing class.

--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -97,10 +97,19 @@
 	}
 	s.table.Configure(limits.KeysPerAgent, limits.KeyValidity)
 	for _, r := range s.queue.Reconfigure(cfg) {
-		s.refuse(now, r.Value.(*run), outcome.Refuse(outcome.ReasonStaleConfig, "the class is no longer configured"))
+		s.refuse(now, r.Value.(*run), s.orphaned(r))
 	}
 }
 
+// orphaned refuses a queued request that the configuration now in force has
+// no place for.
+func (s *scheduler) orphaned(r *admission.Request) *outcome.Refusal {
+	if _, ok := s.view.Class(r.Class); !ok {
+		return outcome.Refuse(outcome.ReasonStaleConfig, "the class is no longer configured")
+	}
+	return outcome.Refuse(outcome.ReasonShed, "the queue became shorter").After(s.queue.RetryAfter(r))
+}
+
 func classesOf(view *manifest.View) []admission.Class {
 	classes := make([]admission.Class, len(view.Manifest.Classes))
 	for i, c := range view.Manifest.Classes {
@@ -197,8 +206,8 @@
 	}
 	evicted, refusal := s.queue.Offer(now, s.queued(now, r, class))
 	for _, e := range evicted {
-		wait := s.status.Load().WaitByTier[e.Value.(*run).tier-1]
-		s.refuse(now, e.Value.(*run), outcome.Refuse(outcome.ReasonShed, "a request of a higher tier took the place").After(max(wait, time.Second)))
+		refusal := outcome.Refuse(outcome.ReasonShed, "a request of a higher tier or of an account with less queued took the place")
+		s.refuse(now, e.Value.(*run), refusal.After(s.queue.RetryAfter(e)))
 	}
 	if refusal != nil {
 		s.refuse(now, r, refusal)
@@ -289,9 +298,8 @@
 
 func (s *scheduler) expire(now time.Time) {
 	for _, late := range s.queue.Expire(now) {
-		r := late.Value.(*run)
-		wait := s.status.Load().WaitByTier[r.tier-1]
-		s.refuse(now, r, outcome.Refuse(outcome.ReasonDeadline, "it can no longer start in time").After(max(wait, time.Second)))
+		refusal := outcome.Refuse(outcome.ReasonDeadline, "it can no longer start in time")
+		s.refuse(now, late.Value.(*run), refusal.After(s.queue.RetryAfter(late)))
 	}
 }
 
