Give up queued requests at twice the time they have left

Cause: with 32 slots the queue gave up comparisons that would have started: the pace of a class swings by a quarter between bursts.

What changed: a queued request is given up when its class's pace asks for twice the time that is left, instead of 1.25 times.

--- a/admission/pace.go
+++ b/admission/pace.go
@@ -13,7 +13,7 @@
 	paceSamples = 5
 	// hopelessMargin is how far a wait must exceed the time left before a
 	// queued request is given up.
-	hopelessMargin = 1.25
+	hopelessMargin = 2
 	// maxGivenUp bounds the requests that one call gives up in a class.
 	maxGivenUp = 4
 )
