Refuse no tier early while lower tiers have their turn

Cause: a wait is an estimate. Where it was too long, a request of tier 2 was refused for its deadline and one of tier 3 started before that deadline.

What changed: a request is refused early or given up only if no lower tier started other than by its floor within as much time as the request has left.

--- a/admission/pace.go
+++ b/admission/pace.go
@@ -58,7 +58,7 @@
 	var given []*Request
 	for _, c := range q.classes {
 		for range maxGivenUp {
-			r := c.hopeless(now)
+			r := q.hopeless(now, c)
 			if r == nil {
 				break
 			}
@@ -73,7 +73,7 @@
 // hopeless returns the last request of the account with the most queued, if
 // it will not start in time. The first request of an account and those of the
 // top tier are kept.
-func (c *classQueue) hopeless(now time.Time) *Request {
+func (q *Queue) hopeless(now time.Time, c *classQueue) *Request {
 	if c.queued < 2 || c.tier == topTier {
 		return nil
 	}
@@ -82,7 +82,8 @@
 	if f.queued() < 2 || r.StartBy.IsZero() {
 		return nil
 	}
-	if c.pace.wait(float64(c.queued)) <= scale(r.StartBy.Sub(now), hopelessMargin) {
+	left := r.StartBy.Sub(now)
+	if c.pace.wait(float64(c.queued)) <= scale(left, hopelessMargin) || q.lowerStarted(now, c.tier, left) {
 		return nil
 	}
 	return r
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -24,9 +24,11 @@
 	sequence    uint64
 	service     mean
 	guard       guard
-	byID        map[string]*Request
-	expiry      indexed[*Request]
-	states      []ClassState
+	// startedAt is when each tier last had its turn other than by a floor.
+	startedAt [Tiers]time.Time
+	byID      map[string]*Request
+	expiry    indexed[*Request]
+	states    []ClassState
 }
 
 // New returns an empty queue.
@@ -79,12 +81,25 @@
 	if left < 0 {
 		return true
 	}
-	if q.cfg.Policy != PolicySesame || c.queued == 0 {
+	if q.cfg.Policy != PolicySesame || c.queued == 0 || q.lowerStarted(now, c.tier, left) {
 		return false
 	}
 	return q.wait(c, r) > left
 }
 
+// lowerStarted reports whether a lower tier had its turn within the last
+// stretch of time. Then all requests of the tier had started, so that one with
+// as much time left is not refused for a wait that is only estimated.
+func (q *Queue) lowerStarted(now time.Time, tier int, stretch time.Duration) bool {
+	for lower := tier + 1; lower <= Tiers; lower++ {
+		at := q.startedAt[lower-1]
+		if !at.IsZero() && now.Sub(at) < stretch {
+			return true
+		}
+	}
+	return false
+}
+
 func (q *Queue) refuse(now time.Time, r *Request, reason outcome.Reason, detail string) *outcome.Refusal {
 	q.trace(Event{At: now, Action: ActionRefuse, Reason: reason, Request: r})
 	return outcome.Refuse(reason, detail).After(q.RetryAfter(r))
@@ -193,6 +208,9 @@
 	q.trace(Event{At: now, Action: ActionStart, Via: via, Request: c.head()})
 	q.observeWait(now, c.head())
 	q.accrue(c)
+	if via == ViaTier {
+		q.startedAt[c.tier-1] = now
+	}
 	r = c.start(now)
 	q.untrack(r)
 	q.running++
