--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -6,6 +6,7 @@
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/outcome"
+	"github.com/sesameswitch/sesameswitch/routing"
 	"github.com/sesameswitch/sesameswitch/timeline"
 )
 
@@ -31,11 +32,13 @@
 		entry: e, req: req, chosen: chosen, id: args.ID,
 		got: &progress{}, out: out, sent: e.deps.Clock.Now(),
 	}
+	e.agents.begin(chosen, d.seen(routing.KindSent))
 	first, refusal := e.submitKeyed(ctx, req, d, &args)
-	if refusal != nil {
-		return refusal
+	if refusal == nil {
+		refusal = d.run(ctx, first)
 	}
-	return d.run(ctx, first)
+	e.agents.done(chosen, d.observation(refusal))
+	return refusal
 }
 
 // submitKeyed submits until the agent answers or the reconnect window ends.
