--- a/cmd/sesame-slopes/main.go
+++ b/cmd/sesame-slopes/main.go
@@ -19,6 +19,7 @@
 type flags struct {
 	Output        string `default:"text" validate:"oneof=text json" help:"Format of the result: text or json."`
 	Processes     []int  `default:"50,100,200,300" help:"Sizes of fleets."`
+	Graphs        []int  `default:"300,1140,5000" help:"Sizes of fleets whose graph of neighbours is worked out."`
 	Agents        []int  `default:"8,24,96" help:"Numbers of agents that an entry keeps heartbeats with."`
 	Accounts      []int  `default:"10,1000,9400" help:"Numbers of client accounts."`
 	Keys          []int  `default:"10000,100000" help:"Numbers of keys in an at-most-once table."`
@@ -41,7 +42,7 @@
 
 func run(f *flags) error {
 	report, err := slopes.Measure(slopes.Sizes{
-		Processes: f.Processes, Agents: f.Agents, Accounts: f.Accounts, Keys: f.Keys, FleetAccounts: f.FleetAccounts,
+		Processes: f.Processes, Graphs: f.Graphs, Agents: f.Agents, Accounts: f.Accounts, Keys: f.Keys, FleetAccounts: f.FleetAccounts,
 	}, os.Stderr)
 	if err != nil {
 		return err
--- a/configsync/config.go
+++ b/configsync/config.go
@@ -72,9 +72,11 @@
 	// WatchersPerDataCentre is how many processes of a data centre watch the
 	// configuration service at a time.
 	WatchersPerDataCentre = 2
-	localNeighbours       = 3
-	remoteNeighbours      = 2
-	confirmPeers          = 5
+	// LocalNeighbours and RemoteNeighbours are how many processes of its own and
+	// of other data centres a process announces versions to.
+	LocalNeighbours  = 3
+	RemoteNeighbours = 2
+	confirmPeers     = 5
 	// hintRingSize bounds the hints of newer versions waiting for a pull.
 	hintRingSize = 16
 )
--- a/configsync/syncer.go
+++ b/configsync/syncer.go
@@ -323,7 +323,7 @@
 // neighbours returns the processes that this one announces versions to.
 func (s *Syncer) neighbours() []platform.VM {
 	epoch := uint64(s.cfg.Clock.Now().UnixNano() / int64(s.cfg.Timing.NeighbourPeriod))
-	return membership.Neighbours(s.cfg.Members.Self(), s.cfg.Members.VMs(), epoch, localNeighbours, remoteNeighbours)
+	return membership.Neighbours(s.cfg.Members.Self(), s.cfg.Members.VMs(), epoch, LocalNeighbours, RemoteNeighbours)
 }
 
 func (s *Syncer) randomNeighbour() (platform.VM, bool) {
--- a/configsync/watch.go
+++ b/configsync/watch.go
@@ -43,7 +43,13 @@
 func (s *Syncer) onDuty() bool {
 	now := s.cfg.Clock.Now().UnixNano()
 	epoch := uint64(now / int64(s.cfg.Timing.DutyPeriod))
-	return membership.OnDuty(s.cfg.Members.Self(), s.cfg.Members.VMs(), dutyPurpose, epoch, WatchersPerDataCentre)
+	return IsWatcher(s.cfg.Members.Self(), s.cfg.Members.VMs(), epoch)
+}
+
+// IsWatcher reports whether self watches the configuration service in an
+// epoch, which is one DutyPeriod.
+func IsWatcher(self platform.VM, vms []platform.VM, epoch uint64) bool {
+	return membership.OnDuty(self, vms, dutyPurpose, epoch, WatchersPerDataCentre)
 }
 
 // watchOnce waits once for a change at the configuration service. It returns
--- a/slopes/control.go
+++ b/slopes/control.go
@@ -33,6 +33,9 @@
 	MemoryBytes int64 `json:"memory_bytes"`
 	// BytesPerChange is what a process sends and receives for one change.
 	BytesPerChange float64 `json:"bytes_per_change"`
+	// ProcessorPerChange is the processor time of a process for one change, in
+	// milliseconds.
+	ProcessorPerChange float64 `json:"processor_ms_per_change"`
 	// CallsPerChange is what the fleet calls the configuration service for one
 	// change.
 	CallsPerChange float64 `json:"calls_per_change"`
@@ -79,7 +82,7 @@
 	to := f.read()
 	f.idle(&point, from, to)
 	point.MemoryBytes = (memoryInUse() - before) / int64(n)
-	version, err := f.changesWithServiceUp(&point, accounts, to)
+	version, err := f.changesWithServiceUp(&point, accounts)
 	if err != nil {
 		return point, err
 	}
@@ -100,7 +103,7 @@
 
 // changesWithServiceUp publishes some versions, one after another, and
 // returns the last.
-func (f *fleet) changesWithServiceUp(point *ControlPoint, accounts int, _ reading) (uint64, error) {
+func (f *fleet) changesWithServiceUp(point *ControlPoint, accounts int) (uint64, error) {
 	from := f.read()
 	version := uint64(1)
 	var millis []float64
@@ -122,6 +125,9 @@
 	idle := point.BytesPerSecond * to.at.Sub(from.at).Seconds()
 	total := 2 * float64(to.peerBytes-from.peerBytes) / float64(len(f.members))
 	point.BytesPerChange = (total - idle) / changes
+	n := float64(len(f.members))
+	idleProcessor := point.CorePercent / 100 * to.at.Sub(from.at).Seconds() * n
+	point.ProcessorPerChange = 1000 * ((to.processor - from.processor).Seconds() - idleProcessor) / changes / n
 	point.CallsPerChange = float64(to.configCalls-from.configCalls) / changes
 	return version, nil
 }
--- a/slopes/report.go
+++ b/slopes/report.go
@@ -9,6 +9,7 @@
 // Report holds the points of all slopes.
 type Report struct {
 	Control    []ControlPoint   `json:"control"`
+	Hops       []HopsPoint      `json:"hops"`
 	Heartbeats []HeartbeatPoint `json:"heartbeats"`
 	Manifests  []ManifestPoint  `json:"manifests"`
 	// LargestManifest is how many accounts fit one value of the configuration
@@ -20,9 +21,11 @@
 // Sizes says which sizes are measured.
 type Sizes struct {
 	Processes []int
-	Agents    []int
-	Accounts  []int
-	Keys      []int
+	// Graphs are sizes of fleets whose graph of neighbours is worked out.
+	Graphs   []int
+	Agents   []int
+	Accounts []int
+	Keys     []int
 	// FleetAccounts is the number of accounts while fleets are measured.
 	FleetAccounts int
 }
@@ -38,6 +41,9 @@
 		}
 		report.Manifests = append(report.Manifests, point)
 	}
+	for _, n := range sizes.Graphs {
+		report.Hops = append(report.Hops, MeasureHops(n))
+	}
 	for _, n := range sizes.Keys {
 		fmt.Fprintf(progress, "table with %d keys\n", n)
 		report.Keys = append(report.Keys, MeasureKeys(n))
@@ -64,11 +70,15 @@
 // WriteText writes the report as tables.
 func (r *Report) WriteText(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "processes\tB/s each\t% core each\tMB each\tconfig calls/s\tlist reads/s\tB/change each\tcalls/change\tup median ms\tup max ms\tafter outage ms\tflapping ms\t")
+	fmt.Fprintln(t, "processes\tB/s each\t% core each\tMB each\tconfig calls/s\tlist reads/s\tB/change each\tcpu ms/change\tcalls/change\tup median ms\tup max ms\tafter outage ms\tflapping ms\t")
 	for _, p := range r.Control {
-		fmt.Fprintf(t, "%d\t%.0f\t%.2f\t%.2f\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t\n",
+		fmt.Fprintf(t, "%d\t%.0f\t%.2f\t%.2f\t%.1f\t%.1f\t%.0f\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t\n",
 			p.Processes, p.BytesPerSecond, p.CorePercent, float64(p.MemoryBytes)/1e6, p.ConfigCallsPerSecond,
-			p.ListReadsPerSecond, p.BytesPerChange, p.CallsPerChange, p.UpMedianMillis, p.UpMaxMillis, p.DownMillis, p.FlappingMillis)
+			p.ListReadsPerSecond, p.BytesPerChange, p.ProcessorPerChange, p.CallsPerChange, p.UpMedianMillis, p.UpMaxMillis, p.DownMillis, p.FlappingMillis)
+	}
+	fmt.Fprintln(t, "\nprocesses\twatchers\tmean hops\tmost hops\tnot pushed to\t")
+	for _, p := range r.Hops {
+		fmt.Fprintf(t, "%d\t%d\t%.1f\t%d\t%d\t\n", p.Processes, p.Watchers, p.MeanHops, p.Hops, p.Unreached)
 	}
 	fmt.Fprintln(t, "\nagents\theartbeat B/s\tB/s per agent\t% core, both ends\t")
 	for _, p := range r.Heartbeats {
