Prove the table's marks and the incarnation check with real processes

Cause: with the guards off, make prove found nothing for the refused mark (no room ever came back) and the incarnation (only late keys were used again).

--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -10,6 +10,7 @@
 	"github.com/sesameswitch/sesameswitch/admission"
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/idempotency"
+	"github.com/sesameswitch/sesameswitch/internal/mutation"
 	"github.com/sesameswitch/sesameswitch/manifest"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/ring"
@@ -132,7 +133,8 @@
 
 // precheck refuses what this incarnation cannot judge or does not serve.
 func (s *scheduler) precheck(args *agentapi.SubmitArgs) *outcome.Refusal {
-	if args.Incarnation != "" && args.Incarnation != s.cfg.Incarnation {
+	foreign := args.Incarnation != "" && args.Incarnation != s.cfg.Incarnation
+	if foreign && !mutation.Off(idempotency.GuardIncarnation) {
 		return s.gate(args, outcome.ReasonWrongIncarnation, "the agent has restarted")
 	}
 	if s.view == nil {
--- a/cmd/sesame-prove/main.go
+++ b/cmd/sesame-prove/main.go
@@ -22,6 +22,7 @@
 	Duration  time.Duration `default:"8s" help:"How long callers send requests in each seed."`
 	Callers   int           `default:"16" help:"Concurrent callers in each seed."`
 	Faults    []string      `help:"Cause only these failures; --list names them."`
+	Mutation  string        `help:"Switch off this guard in programs built with the tag sesame_mutation, and succeed only if a checker notices."`
 	List      bool          `help:"List the failures and exit."`
 }
 
@@ -42,6 +43,9 @@
 func run(line *commandLine) bool {
 	opts := prove.DefaultOptions()
 	opts.Bin, opts.Duration, opts.Callers, opts.Faults = line.Bin, line.Duration, line.Callers, line.Faults
+	if line.Mutation != "" {
+		opts.Environment = []string{"SESAME_MUTATION=" + line.Mutation}
+	}
 	began := time.Now()
 	summary := prove.Seeds(opts, line.FirstSeed, line.Seeds, line.Parallel, os.Stdout)
 	fmt.Printf("%d histories, %d calls, %d runs in %v\n",
@@ -54,9 +58,22 @@
 	for _, name := range names {
 		fmt.Printf("  %s: %d\n", name, summary.Faults[name])
 	}
+	if line.Mutation != "" {
+		return noticed(line, summary)
+	}
 	if len(summary.Failed) > 0 {
 		fmt.Printf("failed seeds: %v\n", summary.Failed)
 		return false
 	}
 	return true
 }
+
+// noticed reports whether a checker found a violation with a guard off.
+func noticed(line *commandLine, summary *prove.Summary) bool {
+	if summary.Violations == 0 {
+		fmt.Printf("%s is off and no checker noticed\n", line.Mutation)
+		return false
+	}
+	fmt.Printf("%s is off and was noticed in seeds %v\n", line.Mutation, summary.Failed)
+	return true
+}
--- a/history/history.go
+++ b/history/history.go
@@ -60,8 +60,10 @@
 	// Returned is false when the caller gave up or lost the connection. Such
 	// a call may have done anything or nothing.
 	Returned bool
-	Outcome  outcome.Outcome
-	Reason   outcome.Reason
+	// Hasty says that the caller meant to give up early.
+	Hasty   bool
+	Outcome outcome.Outcome
+	Reason  outcome.Reason
 	// Run identifies the run that the answer came from, when it says so.
 	Run string
 	// Want and Got are the whole answer as it must be and as it was received.
--- a/prove/caller.go
+++ b/prove/caller.go
@@ -29,8 +29,10 @@
 	// hastyPatience is how long a caller waits that repeats its key while the
 	// first attempt may still run.
 	hastyPatience = 60 * time.Millisecond
-	maxPause      = 120 * time.Millisecond
-	maxTokens     = 300
+	// copyDelay is how long after a refusal a copy of the request arrives.
+	copyDelay = 700 * time.Millisecond
+	maxPause  = 120 * time.Millisecond
+	maxTokens = 300
 )
 
 // payment is a request with a key, which may be sent several times.
@@ -121,12 +123,19 @@
 	}
 }
 
+// payAgainOnDoubt repeats until the outcome is known. A refusal as not_run is
+// tried once more, as a delayed copy of the request would.
 func (k *caller) payAgainOnDoubt(p payment) {
 	for range 3 {
 		call := k.use(p, callPatience)
-		if call.Returned && call.Outcome != outcome.Unknown {
-			return
+		if !call.Returned || call.Outcome == outcome.Unknown {
+			continue
+		}
+		if call.Outcome == outcome.NotRun {
+			time.Sleep(copyDelay)
+			k.use(p, callPatience)
 		}
+		return
 	}
 }
 
@@ -178,7 +187,7 @@
 	if p.account != accountKey {
 		request = otherAccount + "/" + p.mark
 	}
-	call := history.Call{Key: p.key, Request: request}
+	call := history.Call{Key: p.key, Request: request, Hasty: patience == hastyPatience}
 	if p.class == classOrder {
 		k.stream(&call, p, patience)
 	} else {
--- a/prove/cluster.go
+++ b/prove/cluster.go
@@ -20,6 +20,8 @@
 	startPatience = 30 * time.Second
 	adminTimeout  = time.Second
 	configKey     = "manifest"
+	// scarceKeysEvery makes each seed divisible by it run with scarceKeys.
+	scarceKeysEvery = 4
 )
 
 // member is a process of the system under test.
@@ -49,6 +51,7 @@
 	entries   []*member
 	agents    []*member
 	recorder  history.Recorder
+	limits    keyLimits
 
 	mu      sync.Mutex
 	version uint64
@@ -61,8 +64,13 @@
 // now is the time since the start of the history.
 func (c *cluster) now() time.Duration { return time.Since(c.began) }
 
-func newCluster(opts Options) *cluster {
+func newCluster(opts Options, seed uint64) *cluster {
+	limits := ampleKeys
+	if seed%scarceKeysEvery == 0 {
+		limits = scarceKeys
+	}
 	return &cluster{
+		limits:    limits,
 		opts:      opts,
 		began:     time.Now(),
 		client:    &http.Client{Timeout: adminTimeout},
@@ -75,7 +83,7 @@
 	if err := c.startStandIns(); err != nil {
 		return err
 	}
-	if err := c.publish(1, manifestOf(1), true); err != nil {
+	if err := c.publish(1, c.manifestOf(1), true); err != nil {
 		return err
 	}
 	if err := c.startMembers(); err != nil {
--- a/prove/fault.go
+++ b/prove/fault.go
@@ -34,6 +34,8 @@
 		{"kill-entry", false, killed(entries)},
 		{"freeze-agent", false, frozen(agents)},
 		{"freeze-entry", false, frozen(entries)},
+		{"freeze-agent-long", false, frozenLong(agents)},
+		{"freeze-entry-long", false, frozenLong(entries)},
 		{"cut-link", false, linked(linkCut)},
 		{"silent-link", false, linked(linkSilent)},
 		{"lose-requests", false, linked(linkLosesRequests)},
@@ -72,18 +74,21 @@
 	return names
 }
 
-// draw picks one failure for odd seeds and a pair for even ones. Successive
-// seeds go through the catalogue, so that every failure occurs alone.
+// pairEvery makes each seed divisible by it cause two failures at once.
+const pairEvery = 3
+
+// draw picks the failures of a seed: a pair for each third seed and one alone
+// for the others, which go through the catalogue in order.
 func draw(seed uint64, rng *rand.Rand, only []string) []fault {
 	all := catalogue()
 	if len(only) > 0 {
 		all = slices.DeleteFunc(all, func(f fault) bool { return !slices.Contains(only, f.name) })
 	}
-	chosen := []fault{all[seed/2%uint64(len(all))]}
-	if seed%2 == 0 {
-		chosen = []fault{all[rng.IntN(len(all))], all[rng.IntN(len(all))]}
+	if seed%pairEvery == 0 {
+		return []fault{all[rng.IntN(len(all))], all[rng.IntN(len(all))]}
 	}
-	return chosen
+	alone := seed - seed/pairEvery - 1
+	return []fault{all[alone%uint64(len(all))]}
 }
 
 func agents(c *cluster) []*member  { return c.agents }
@@ -121,6 +126,16 @@
 	}
 }
 
+// longFreeze is longer than every timeout of the processes.
+const longFreeze = 32 * time.Second
+
+// frozenLong is frozen for longer than every timeout.
+func frozenLong(group func(*cluster) []*member) func(*cluster, *rand.Rand, time.Duration) error {
+	return func(c *cluster, rng *rand.Rand, _ time.Duration) error {
+		return frozen(group)(c, rng, longFreeze)
+	}
+}
+
 // linked damages the link to an agent.
 func linked(state linkState) func(*cluster, *rand.Rand, time.Duration) error {
 	return func(c *cluster, rng *rand.Rand, lasting time.Duration) error {
@@ -185,7 +200,7 @@
 // with an old version only.
 func staleStart(c *cluster, rng *rand.Rand, lasting time.Duration) error {
 	version := c.nextVersion()
-	if err := c.publish(version, manifestOf(version), true); err != nil {
+	if err := c.publish(version, c.manifestOf(version), true); err != nil {
 		return err
 	}
 	time.Sleep(c.opts.InForceWithin)
@@ -211,13 +226,13 @@
 func operators(c *cluster, _ *rand.Rand, _ time.Duration) error {
 	first, second, third := c.nextVersion(), c.nextVersion(), c.nextVersion()
 	c.note(fmt.Sprintf("publish %d, %d (invalid), %d", first, second, third))
-	if err := c.publish(third, manifestOf(third), true); err != nil {
+	if err := c.publish(third, c.manifestOf(third), true); err != nil {
 		return err
 	}
-	if err := c.publish(second, invalidManifest(second), false); err != nil {
+	if err := c.publish(second, c.invalidManifest(second), false); err != nil {
 		return err
 	}
-	return c.publish(first, manifestOf(first), true)
+	return c.publish(first, c.manifestOf(first), true)
 }
 
 // standInFault switches a fault of a stand-in on and off.
--- a/prove/manifest.go
+++ b/prove/manifest.go
@@ -1,9 +1,11 @@
 package prove
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"time"
 )
 
 // Names in the manifest under test.
@@ -38,17 +40,31 @@
   - {model: small, classes: [chat, order]}
   - {service: booking, path_prefix: /payments, classes: [payment]}
   - {service: booking, classes: [lookup]}
+limits: {keys_per_agent: %d, key_validity: %s}
 `
 
+// keyLimits are the limits of the agents' tables of keys.
+type keyLimits struct {
+	keys     int
+	validity time.Duration
+}
+
+var (
+	// ampleKeys are never reached within a seed.
+	ampleKeys = keyLimits{keys: 100_000, validity: 10 * time.Minute}
+	// scarceKeys make tables full and keys expire within a seed.
+	scarceKeys = keyLimits{keys: 20, validity: 3 * time.Second}
+)
+
 // manifestOf returns the manifest with a version.
-func manifestOf(version uint64) []byte {
-	return fmt.Appendf(nil, manifestFormat, version, hashOf(accountKey), hashOf(otherKey))
+func (c *cluster) manifestOf(version uint64) []byte {
+	return fmt.Appendf(nil, manifestFormat, version, hashOf(accountKey), hashOf(otherKey), c.limits.keys, c.limits.validity)
 }
 
 // invalidManifest returns a document with a version that must be refused: a
 // route names a class that does not exist.
-func invalidManifest(version uint64) []byte {
-	return append(manifestOf(version), "  - {service: booking, classes: [nowhere]}\n"...)
+func (c *cluster) invalidManifest(version uint64) []byte {
+	return bytes.Replace(c.manifestOf(version), []byte("classes: [lookup]"), []byte("classes: [nowhere]"), 1)
 }
 
 func hashOf(key string) string {
--- a/prove/prove.go
+++ b/prove/prove.go
@@ -84,13 +84,17 @@
 	Calls     int
 	Runs      int
 	Faults    map[string]int
-	Failed    []uint64
+	// Failed are the seeds that broke a promise or could not be judged.
+	Failed []uint64
+	// Violations counts the promises broken.
+	Violations int
 }
 
 func (s *Summary) add(r *Result) {
 	s.Histories++
 	s.Calls += r.Calls
 	s.Runs += r.Runs
+	s.Violations += len(r.Violations)
 	for _, f := range r.Faults {
 		s.Faults[f]++
 	}
--- a/prove/seed.go
+++ b/prove/seed.go
@@ -32,7 +32,7 @@
 	for _, f := range faults {
 		result.Faults = append(result.Faults, f.name)
 	}
-	c := newCluster(opts)
+	c := newCluster(opts, seed)
 	defer c.close()
 	if result.Err = c.start(); result.Err != nil {
 		return result
@@ -118,7 +118,7 @@
 	c.repeatLate(callers)
 	version := c.nextVersion()
 	began := c.now()
-	if err := c.publish(version, manifestOf(version), true); err != nil {
+	if err := c.publish(version, c.manifestOf(version), true); err != nil {
 		return err
 	}
 	// A watch that hangs since the service was at fault ends by its timeout
@@ -156,7 +156,8 @@
 	group.SetLimit(lateAtOnce)
 	share := lateRepeats / max(1, len(callers))
 	for _, k := range callers {
-		for _, p := range k.used[max(0, len(k.used)-share):] {
+		k.rng.Shuffle(len(k.used), func(i, j int) { k.used[i], k.used[j] = k.used[j], k.used[i] })
+		for _, p := range k.used[:min(len(k.used), share)] {
 			group.Go(func() error {
 				k.use(p, callPatience)
 				return nil
