--- a/entry/request.go
+++ b/entry/request.go
@@ -14,7 +14,6 @@
 type request struct {
 	id       string
 	received time.Time
-	version  uint64
 	account  *manifest.ClientAccount
 	class    *manifest.Class
 	// key is set for requests that run at most once.
@@ -22,6 +21,8 @@
 	keyText string
 	args    agentapi.SubmitArgs
 	route   routing.Request
+	// retryShare is the share of requests that may be retries.
+	retryShare float64
 	// refuse is why the entry would refuse a request with a key; the agent
 	// decides, since the key may have been used through another entry.
 	refuse outcome.Reason
@@ -40,8 +41,8 @@
 	return r.class.Targets.Whole
 }
 
-// startWithin is what is left of the target at a moment.
-func (r *request) startWithin(now time.Time) time.Duration {
+// targetLeft is what is left of the target at a moment.
+func (r *request) targetLeft(now time.Time) time.Duration {
 	target := r.target()
 	if target == 0 {
 		return 0
@@ -53,10 +54,14 @@
 // answer before the agent is taken for stuck.
 func (r *request) patience() time.Duration {
 	target := r.target()
-	if target == 0 {
+	switch {
+	case target > 0:
+		return max(2*target, target+time.Second)
+	case r.args.Stream:
 		return stallTimeout
+	default:
+		return wholePatience
 	}
-	return max(2*target, target+time.Second)
 }
 
 // refusals is how many agents may refuse before the request is refused.
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -39,6 +39,8 @@
 	if err != nil {
 		return err
 	}
+	l.begin()
+	defer l.end()
 	client, err := l.client(ctx)
 	if err != nil {
 		return err
@@ -112,6 +114,35 @@
 	rpc      *rpc.Client
 	stop     chan struct{}
 	failedAt time.Time
+	// calls is the number of calls under way; usedAt is when the last ended.
+	calls  int
+	usedAt time.Time
+}
+
+func (l *link) begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+}
+
+func (l *link) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls--
+	l.usedAt = time.Now()
+}
+
+// retire closes the connection when it was not used for a long time.
+func (l *link) retire(client *rpc.Client) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	timeout := l.pool.cfg.UnusedTimeout
+	if timeout <= 0 || l.calls > 0 || l.rpc != client || time.Since(l.usedAt) < timeout {
+		return false
+	}
+	l.rpc = nil
+	client.Close()
+	return true
 }
 
 // present returns the open connection, if there is one.
@@ -154,7 +185,8 @@
 		l.failed()
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
-	client := rpc.NewClient(newConn(raw, cfg, &l.pool.traffic))
+	c := newConn(raw, cfg, &l.pool.traffic)
+	client := rpc.NewClient(c)
 	if err := ping(client, cfg.DialTimeout); err != nil {
 		client.Close()
 		l.failed()
@@ -164,7 +196,7 @@
 	l.mu.Lock()
 	l.rpc, l.stop = client, stop
 	l.mu.Unlock()
-	go l.heartbeat(client, stop)
+	go l.heartbeat(c, client, stop)
 	return client, nil
 }
 
@@ -174,21 +206,30 @@
 	l.failedAt = time.Now()
 }
 
-// heartbeat keeps bytes coming on a connection that works and drops one that
-// does not.
-func (l *link) heartbeat(client *rpc.Client, stop chan struct{}) {
-	ticker := time.NewTicker(l.pool.cfg.HeartbeatInterval)
-	defer ticker.Stop()
+// heartbeat keeps bytes going both ways on a connection that works and drops
+// one that does not. Calls and answers make a heartbeat superfluous.
+func (l *link) heartbeat(c *conn, client *rpc.Client, stop chan struct{}) {
+	interval := l.pool.cfg.HeartbeatInterval
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-stop:
 			return
-		case <-ticker.C:
+		case <-timer.C:
+		}
+		if l.retire(client) {
+			return
+		}
+		if quiet := c.quietFor(); quiet < interval {
+			timer.Reset(interval - quiet)
+			continue
 		}
 		if err := ping(client, l.pool.cfg.IdleTimeout); err != nil {
 			l.drop(client)
 			return
 		}
+		timer.Reset(interval)
 	}
 }
 
