Judge the queue's decisions over seeds, and mutate guards of processes

Cause: tier order and floors were judged by hand-made cases only, and the checkers had shown with real processes only that they notice the key table.

What changed: 60 seeded overloads of the queue are judged; first come first served fails the check of tier order and strict tiers that of floors, as they must. The checker takes tiers from the manifest: taken from the trace, first come first served passed, as it runs all classes as one tier.

--- a/agent/execute.go
+++ b/agent/execute.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 
+	"github.com/sesameswitch/sesameswitch/internal/mutation"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/platform"
 )
@@ -16,6 +17,10 @@
 // maxAnswerBytes bounds the answer of one run.
 const maxAnswerBytes = 16 << 20
 
+// GuardWholeAnswer fails runs whose answer broke off. A test build can switch
+// it off.
+const GuardWholeAnswer mutation.Guard = "agent.whole_answer"
+
 // execute sends a run to the backend server and fills its answer. It returns
 // nil when the answer is whole, and otherwise why it is not.
 func execute(ctx context.Context, server platform.BackendServer, r *run) *outcome.Refusal {
@@ -30,7 +35,7 @@
 	} else {
 		err = copyBody(ctx, r.answer, reply)
 	}
-	if err != nil {
+	if err != nil && !mutation.Off(GuardWholeAnswer) {
 		return failure(ctx, err)
 	}
 	return nil
--- a/configsync/store.go
+++ b/configsync/store.go
@@ -16,6 +16,7 @@
 
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/configsync/delta"
+	"github.com/sesameswitch/sesameswitch/internal/mutation"
 	"github.com/sesameswitch/sesameswitch/manifest"
 )
 
@@ -57,6 +58,10 @@
 	ErrConflict = eris.New("configsync: another document of the same version is in force")
 )
 
+// GuardVersion refuses versions below the one in force. A test build can
+// switch it off.
+const GuardVersion mutation.Guard = "configsync.version"
+
 // Hooks are called for each judged document, outside of locks. Nil functions
 // are left out.
 type Hooks struct {
@@ -134,7 +139,7 @@
 		s.lastBad, s.lastBadErr = digest, err
 		return Invalid, 0, err
 	}
-	if now != nil && m.Version < now.view.Version() {
+	if now != nil && m.Version < now.view.Version() && !mutation.Off(GuardVersion) {
 		return Older, m.Version, eris.Wrapf(ErrOlder, "version %d offered, %d in force", m.Version, now.view.Version())
 	}
 	if now != nil && m.Version == now.view.Version() {
--- a/history/admission.go
+++ b/history/admission.go
@@ -32,6 +32,19 @@
 	return slices.Clone(t.events)
 }
 
+// Classes are the classes of a manifest by name. Checkers take tiers and
+// floors from here, not from the queue that they judge.
+type Classes map[string]admission.Class
+
+// ClassesOf indexes classes by name.
+func ClassesOf(classes []admission.Class) Classes {
+	byName := make(Classes, len(classes))
+	for _, c := range classes {
+		byName[c.Name] = c
+	}
+	return byName
+}
+
 // CheckTierOrder checks that no request gives way to one of a lower tier:
 //
 //   - a request is refused for want of room, or evicted, only while no lower
@@ -43,21 +56,21 @@
 //
 // A request that cannot start in time is refused by its deadline, in favour
 // of nobody; that is not judged here.
-func CheckTierOrder(events []admission.Event, floors map[string]float64) []Violation {
+func CheckTierOrder(events []admission.Event, classes Classes) []Violation {
 	var found []Violation
 	byFloor := make(map[string]int)
 	starts := 0
 	for _, e := range events {
 		switch e.Action {
 		case admission.ActionRefuse, admission.ActionEvict:
-			found = append(found, checkShed(e)...)
+			found = append(found, checkShed(e, classes)...)
 		case admission.ActionStart:
 			starts++
-			if !startsAhead(e) {
+			if !startsAhead(e, classes) {
 				continue
 			}
 			byFloor[e.Request.Class]++
-			found = append(found, checkAhead(e, byFloor, floors, starts)...)
+			found = append(found, checkAhead(e, byFloor, classes, starts)...)
 		}
 	}
 	return found
@@ -67,18 +80,18 @@
 // saved up.
 const floorSlack = 2
 
-func checkShed(e admission.Event) []Violation {
+func checkShed(e admission.Event, classes Classes) []Violation {
 	if e.Action == admission.ActionRefuse && !wantOfRoom(e) {
 		return nil
 	}
-	tier := tierOf(e, e.Request.Class)
-	if e.Action == admission.ActionEvict && e.For != nil && tierOf(e, e.For.Class) > tier {
+	tier := classes[e.Request.Class].Tier
+	if e.Action == admission.ActionEvict && e.For != nil && classes[e.For.Class].Tier > tier {
 		return []Violation{tierViolation(e, fmt.Sprintf("evicted for %s of class %s", e.For.ID, e.For.Class))}
 	}
 	for _, c := range e.Classes {
-		if c.Tier > tier && c.Shared > 0 {
+		if lower := classes[c.Class].Tier; lower > tier && c.Shared > 0 {
 			return []Violation{tierViolation(e, fmt.Sprintf("%s while class %s of tier %d occupies %d shared places",
-				e.Action, c.Class, c.Tier, c.Shared))}
+				e.Action, c.Class, lower, c.Shared))}
 		}
 	}
 	return nil
@@ -90,37 +103,29 @@
 
 // startsAhead reports whether a request starts while one of a higher tier
 // waits.
-func startsAhead(e admission.Event) bool {
-	tier := tierOf(e, e.Request.Class)
+func startsAhead(e admission.Event, classes Classes) bool {
+	tier := classes[e.Request.Class].Tier
 	for _, c := range e.Classes {
-		if c.Tier < tier && c.Queued > 0 {
+		if classes[c.Class].Tier < tier && c.Queued > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-func checkAhead(e admission.Event, byFloor map[string]int, floors map[string]float64, starts int) []Violation {
+func checkAhead(e admission.Event, byFloor map[string]int, classes Classes, starts int) []Violation {
 	class := e.Request.Class
 	if e.Via != admission.ViaFloor {
 		return []Violation{tierViolation(e, "started ahead of a higher tier, not by its floor")}
 	}
-	allowed := floors[class]*float64(starts) + floorSlack
+	floor := classes[class].Floor
+	allowed := floor*float64(starts) + floorSlack
 	if float64(byFloor[class]) > allowed {
-		return []Violation{tierViolation(e, fmt.Sprintf("%d starts by floor of %d starts, floor %g", byFloor[class], starts, floors[class]))}
+		return []Violation{tierViolation(e, fmt.Sprintf("%d starts by floor of %d starts, floor %g", byFloor[class], starts, floor))}
 	}
 	return nil
 }
 
-func tierOf(e admission.Event, class string) int {
-	for _, c := range e.Classes {
-		if c.Class == class {
-			return c.Tier
-		}
-	}
-	return 0
-}
-
 func tierViolation(e admission.Event, detail string) Violation {
 	return Violation{Promise: TierOrder, Subject: e.Request.ID + " of class " + e.Request.Class, Detail: detail}
 }
@@ -128,7 +133,7 @@
 // CheckFloors checks that no class with a floor starves: while it has
 // requests queued, no more starts of other classes pass between two of its
 // own, or before its first, than 1/floor and one for each other class.
-func CheckFloors(events []admission.Event, floors map[string]float64) []Violation {
+func CheckFloors(events []admission.Event, classes Classes) []Violation {
 	var found []Violation
 	passed := make(map[string]int)
 	for _, e := range events {
@@ -136,7 +141,7 @@
 			continue
 		}
 		for _, c := range e.Classes {
-			floor := floors[c.Class]
+			floor := classes[c.Class].Floor
 			if c.Queued == 0 || c.Class == e.Request.Class || floor <= 0 {
 				passed[c.Class] = 0
 				continue
--- /dev/null
+++ b/history/admission_test.go
@@ -0,0 +1,77 @@
+package history
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sesameswitch/sesameswitch/admission"
+)
+
+// overload offers requests of four tiers to a queue, far more than it can
+// run, with bursts of one class, and returns the decisions.
+func overload(policy admission.Policy, seed uint64) ([]admission.Event, Classes) {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var trace Trace
+	classes := []admission.Class{
+		{Name: "payment", Tier: 1},
+		{Name: "summary", Tier: 2, Floor: 0.05},
+		{Name: "note", Tier: 3, Floor: 0.1},
+		{Name: "lookup", Tier: 4, Floor: 0.1},
+	}
+	queue := admission.New(admission.Config{
+		Policy: policy, Capacity: 24, Slots: 2, Classes: classes, Rand: rng, Trace: trace.Record,
+	})
+	now := time.Unix(0, 0)
+	burst := 0
+	for i := range 2000 {
+		now = now.Add(time.Duration(rng.IntN(20)) * time.Millisecond)
+		if i%100 == 0 {
+			burst = rng.IntN(len(classes))
+		}
+		class := classes[rng.IntN(len(classes))]
+		if rng.IntN(2) == 0 {
+			class = classes[burst]
+		}
+		r := &admission.Request{ID: fmt.Sprint(i), Class: class.Name, Account: fmt.Sprint(rng.IntN(5)), Arrived: now}
+		if rng.IntN(4) == 0 {
+			r.StartBy = now.Add(time.Duration(rng.IntN(2000)) * time.Millisecond)
+		}
+		queue.Offer(now, r)
+		queue.Expire(now)
+		if i%3 != 0 {
+			continue
+		}
+		if started, _ := queue.Next(now); started != nil {
+			queue.Finished(now, started.Class, 20*time.Millisecond)
+		}
+	}
+	return trace.Events(), ClassesOf(classes)
+}
+
+const overloadSeeds = 60
+
+func TestAdmissionHistories(t *testing.T) {
+	decisions := 0
+	for seed := range uint64(overloadSeeds) {
+		events, classes := overload(admission.PolicySesame, seed)
+		decisions += len(events)
+		for _, v := range append(CheckTierOrder(events, classes), CheckFloors(events, classes)...) {
+			t.Fatalf("seed %d: %s", seed, v)
+		}
+	}
+	t.Logf("%d histories, %d decisions", overloadSeeds, decisions)
+}
+
+// TestAdmissionCheckersNotice shows that policies without the guards fail.
+func TestAdmissionCheckersNotice(t *testing.T) {
+	events, classes := overload(admission.PolicyFIFO, 1)
+	if len(CheckTierOrder(events, classes)) == 0 {
+		t.Error("first come first served passed the check of tier order")
+	}
+	events, classes = overload(admission.PolicyStrict, 1)
+	if len(CheckFloors(events, classes)) == 0 {
+		t.Error("strict tiers passed the check of floors")
+	}
+}
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -152,6 +152,8 @@
 	}
 }
 
+var testClasses = ClassesOf([]admission.Class{{Name: "high", Tier: 1}, {Name: "low", Tier: 4, Floor: 0.1}})
+
 func TestCheckTierOrder(t *testing.T) {
 	high := admission.ClassState{Class: "high", Tier: 1, Queued: 1}
 	low := admission.ClassState{Class: "low", Tier: 4, Queued: 3, Shared: 1}
@@ -170,7 +172,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			found := CheckTierOrder([]admission.Event{c.event}, map[string]float64{"low": 0.1})
+			found := CheckTierOrder([]admission.Event{c.event}, testClasses)
 			if len(found) != c.bad {
 				t.Fatalf("found %v", found)
 			}
@@ -184,7 +186,7 @@
 	for range 10 {
 		events = append(events, event(admission.ActionStart, admission.ViaFloor, "", "low", states...))
 	}
-	if found := CheckTierOrder(events, map[string]float64{"low": 0.1}); len(found) == 0 {
+	if found := CheckTierOrder(events, testClasses); len(found) == 0 {
 		t.Fatal("a class that takes every start by its floor passed")
 	}
 }
@@ -195,11 +197,10 @@
 	for range 13 {
 		events = append(events, event(admission.ActionStart, admission.ViaTier, "", "high", states...))
 	}
-	floors := map[string]float64{"low": 0.1}
-	if found := CheckFloors(events[:12], floors); len(found) != 0 {
+	if found := CheckFloors(events[:12], testClasses); len(found) != 0 {
 		t.Fatalf("found %v", found)
 	}
-	if found := CheckFloors(events, floors); len(found) != 1 {
+	if found := CheckFloors(events, testClasses); len(found) != 1 {
 		t.Fatalf("found %v", found)
 	}
 }
--- a/prove/caller.go
+++ b/prove/caller.go
@@ -143,7 +143,7 @@
 func (k *caller) mint(class string) (string, error) {
 	want := map[string]string{"class": class, "service": serviceName}
 	if class == classOrder {
-		want = map[string]string{"class": class, "model": modelName}
+		want = map[string]string{"class": class, "model": orderModel}
 	}
 	body, err := json.Marshal(want)
 	if err != nil {
@@ -283,8 +283,12 @@
 func (k *caller) stream(call *history.Call, p payment, patience time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
+	model := chatModel
+	if p.class == classOrder {
+		model = orderModel
+	}
 	body, _ := json.Marshal(engine.Request{ // a struct of strings and numbers can be encoded
-		Model: modelName, Stream: true, Tokens: p.tokens,
+		Model: model, Stream: true, Tokens: p.tokens,
 		Messages: []engine.Message{{Role: "user", Content: p.mark}},
 	})
 	// The system sets the priority; callers must not.
--- a/prove/cluster.go
+++ b/prove/cluster.go
@@ -104,7 +104,7 @@
 		return err
 	}
 	for _, name := range []string{"engine-1", "engine-2"} {
-		p, err := c.standIn(name, "engine", "--models", modelName, "--time-scale", "10", "--slots", "8")
+		p, err := c.standIn(name, "engine", "--models", chatModel+","+orderModel, "--time-scale", "10", "--slots", "8")
 		if err != nil {
 			return err
 		}
@@ -208,7 +208,7 @@
 	m.vm.Address = m.link.address()
 	m.args = append(m.args, "--listen", peers, "--backend-url", "http://"+c.addresses[backend], "--slots", "8")
 	if backend[:1] == "e" {
-		m.args = append(m.args, "--backend-kind", "engine", "--models", modelName)
+		m.args = append(m.args, "--backend-kind", "engine", "--models", chatModel+","+orderModel)
 	} else {
 		m.args = append(m.args, "--backend-kind", "service", "--services", serviceName)
 	}
--- a/prove/manifest.go
+++ b/prove/manifest.go
@@ -14,7 +14,8 @@
 	accountKey   = "acme-secret"
 	otherAccount = "other"
 	otherKey     = "other-secret"
-	modelName    = "small"
+	chatModel    = "small"
+	orderModel   = "clerk"
 	serviceName  = "booking"
 	classPayment = "payment"
 	classOrder   = "order"
@@ -31,13 +32,15 @@
   - {name: lookup, tier: 4, repeatability: idempotent, targets: {whole: 3s}, floor: 0.1}
 models:
   - {name: small, max_tokens: 4096}
+  - {name: clerk, max_tokens: 4096}
 services:
   - {name: booking}
 accounts:
   - {name: acme, key_hashes: [%s]}
   - {name: other, key_hashes: [%s]}
 routes:
-  - {model: small, classes: [chat, order]}
+  - {model: small, classes: [chat]}
+  - {model: clerk, classes: [order]}
   - {service: booking, path_prefix: /payments, classes: [payment]}
   - {service: booking, classes: [lookup]}
 limits: {keys_per_agent: %d, key_validity: %s}
