--- a/slopes/manifest.go
+++ b/slopes/manifest.go
@@ -36,7 +36,7 @@
 	b.WriteString("accounts:\n")
 	for i := range accounts {
 		sum := sha256.Sum256(fmt.Append(nil, i))
-		fmt.Fprintf(&b, "  - {name: a%04d, key_hashes: [%x]", i, sum)
+		fmt.Fprintf(&b, "  - {name: a%05d, key_hashes: [%x]", i, sum)
 		if accounts > 0 && uint64(i) == version%uint64(accounts) {
 			b.WriteString(", weight: 2")
 		}
