--- a/cmd/sesame-prove/main.go
+++ b/cmd/sesame-prove/main.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/rotisserie/eris"
 
 	"github.com/sesameswitch/sesameswitch/prove"
 )
@@ -23,6 +24,8 @@
 	Callers   int           `default:"16" help:"Concurrent callers in each seed."`
 	Faults    []string      `help:"Cause only these failures; --list names them."`
 	Mutation  string        `help:"Switch off this guard in programs built with the tag sesame_mutation, and succeed only if a checker notices."`
+	Recovery  bool          `help:"Measure the time to recover from single failures instead."`
+	Repeats   int           `default:"3" help:"Measurements of each recovery."`
 	List      bool          `help:"List the failures and exit."`
 }
 
@@ -43,6 +46,9 @@
 func run(line *commandLine) bool {
 	opts := prove.DefaultOptions()
 	opts.Bin, opts.Duration, opts.Callers, opts.Faults = line.Bin, line.Duration, line.Callers, line.Faults
+	if line.Recovery {
+		return measure(opts, line.Repeats)
+	}
 	if line.Mutation != "" {
 		opts.Environment = []string{"SESAME_MUTATION=" + line.Mutation}
 	}
@@ -77,3 +83,12 @@
 	fmt.Printf("%s is off and was noticed in seeds %v\n", line.Mutation, summary.Failed)
 	return true
 }
+
+// measure reports recovery times.
+func measure(opts prove.Options, repeats int) bool {
+	if err := prove.Recoveries(opts, repeats, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, eris.ToString(err, false))
+		return false
+	}
+	return true
+}
--- a/prove/caller.go
+++ b/prove/caller.go
@@ -46,10 +46,11 @@
 
 // caller sends requests through all entries and records what it saw.
 type caller struct {
-	c      *cluster
-	client *http.Client
-	name   string
-	sent   int
+	c       *cluster
+	client  *http.Client
+	entries []*member
+	name    string
+	sent    int
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -59,10 +60,11 @@
 
 func newCaller(c *cluster, seed uint64, number int) *caller {
 	return &caller{
-		c:      c,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
-		name:   fmt.Sprintf("caller-%d", number),
-		rng:    rand.New(rand.NewPCG(seed, uint64(number)+1)),
+		c:       c,
+		entries: c.entries,
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		name:    fmt.Sprintf("caller-%d", number),
+		rng:     rand.New(rand.NewPCG(seed, uint64(number)+1)),
 	}
 }
 
@@ -72,7 +74,7 @@
 	return k.rng.IntN(n)
 }
 
-func (k *caller) anyEntry() *member { return k.c.entries[k.draw(len(k.c.entries))] }
+func (k *caller) anyEntry() *member { return k.entries[k.draw(len(k.entries))] }
 
 // run sends requests until the deadline.
 func (k *caller) run(until time.Duration) {
@@ -85,7 +87,7 @@
 		case choice < 8:
 			k.chat()
 		default:
-			k.lookup()
+			k.lookup(k.mark())
 		}
 		time.Sleep(time.Duration(k.draw(int(maxPause))))
 	}
@@ -205,9 +207,9 @@
 }
 
 // lookup calls the service for something that may be repeated.
-func (k *caller) lookup() {
+func (k *caller) lookup(mark string) {
 	call := history.Call{}
-	p := payment{class: classLookup, mark: k.mark(), account: accountKey}
+	p := payment{class: classLookup, mark: mark, account: accountKey}
 	k.callService(&call, p, "/seats/"+p.mark, callPatience)
 	k.c.recorder.Call(call)
 }
--- a/prove/process.go
+++ b/prove/process.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -99,12 +101,25 @@
 	}
 }
 
-// freeAddress returns a loopback address that nobody listens on.
+const (
+	listenPort = 9000
+	// addressTries bounds the search for an address that is free.
+	addressTries = 100
+)
+
+// freeAddress returns an address that nobody listens on. Each has a loopback
+// IP number of its own, so that no outgoing connection takes its port while
+// the process that owns it is down.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "find a free port")
+	for range addressTries {
+		ip := net.IPv4(127, byte(1+rand.IntN(250)), byte(rand.IntN(256)), byte(1+rand.IntN(250)))
+		address := net.JoinHostPort(ip.String(), strconv.Itoa(listenPort))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return address, nil
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", eris.New("no free loopback address found")
 }
--- /dev/null
+++ b/prove/prove_test.go
@@ -0,0 +1,45 @@
+package prove
+
+import (
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestRealProcesses runs a small fixed set of seeds. Its bounds in time are
+// far above what a slow machine needs; nothing else hangs on speed.
+func TestRealProcesses(t *testing.T) {
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin+string(os.PathSeparator),
+		"../cmd/sesame-entry", "../cmd/sesame-agent", "../cmd/sesame-standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for _, c := range []struct {
+		seed   uint64
+		faults string
+	}{
+		{1, "kill-agent"},
+		{2, "silent-link"},
+		{3, "kill-entry,freeze-agent"},
+		{4, "operators-at-once"},
+		{6, "service-closes-after,config-hung"},
+	} {
+		t.Run(c.faults, func(t *testing.T) {
+			t.Parallel()
+			opts := DefaultOptions()
+			opts.Bin = bin
+			opts.Duration = 2 * time.Second
+			opts.Callers = 6
+			opts.InForceWithin = 30 * time.Second
+			opts.Faults = strings.Split(c.faults, ",")
+			result := Seed(opts, c.seed)
+			t.Log(result)
+			if result.Failed() {
+				t.Fatalf("%v\n%s", result.Violations, strings.Join(result.Timeline, "\n"))
+			}
+		})
+	}
+}
