--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/outcome"
+	"github.com/sesameswitch/sesameswitch/peer"
 	"github.com/sesameswitch/sesameswitch/routing"
 	"github.com/sesameswitch/sesameswitch/timeline"
 )
@@ -103,10 +104,11 @@
 	args.Incarnation = chosen.incarnation
 	args.TargetLeft = req.targetLeft(sent)
 	e.deps.Timeline.Record(timeline.AttemptSent, req.id, chosen.vm.Name)
-	refusal := e.submit(ctx, chosen, &args)
 	d := &delivery{entry: e, req: req, chosen: chosen, id: args.ID, got: got, out: out, sent: sent}
+	e.agents.observe(chosen, d.seen(routing.KindSent))
+	first, refusal := e.submit(ctx, d, &args)
 	if refusal == nil {
-		refusal = d.run(ctx)
+		refusal = d.run(ctx, first)
 	}
 	if refusal != nil && refusal.Outcome == outcome.Unknown {
 		go e.cancel(chosen, &args, refusal.Reason)
@@ -119,36 +121,46 @@
 	return e.deps.Clock.Now().Sub(t)
 }
 
+// kindOf tells what a refusal says of the agent. One that could not be reached
+// has failed, although the request did not run.
 func kindOf(refusal *outcome.Refusal) routing.Kind {
-	switch {
-	case refusal.Reason == outcome.ReasonCancelled:
+	switch refusal.Reason {
+	case outcome.ReasonCancelled:
 		return routing.KindCancelled
-	case refusal.Outcome == outcome.NotRun:
-		return routing.KindRefused
-	default:
+	case outcome.ReasonConnection, outcome.ReasonTimeout, outcome.ReasonBackendServer:
 		return routing.KindFailed
+	default:
+		return routing.KindRefused
 	}
 }
 
-// submit offers the request to the agent.
-func (e *Entry) submit(ctx context.Context, chosen target, args *agentapi.SubmitArgs) *outcome.Refusal {
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+// submit offers the request to the agent and returns the first part of its
+// answer. When the reply is lost the part is nil: the agent may have the run,
+// and reading tells.
+func (e *Entry) submit(ctx context.Context, d *delivery, args *agentapi.SubmitArgs) (*agentapi.ReadReply, *outcome.Refusal) {
+	args.Read = d.readArgs(e.deps.Clock.Now())
+	ctx, cancel := context.WithTimeout(ctx, args.Read.Wait+readSlack)
 	defer cancel()
 	var reply agentapi.SubmitReply
-	if err := e.deps.Peers.Call(ctx, chosen.vm.Address, agentapi.MethodSubmit, *args, &reply); err != nil {
-		return callFailure(err)
+	err := e.deps.Peers.Call(ctx, d.chosen.vm.Address, agentapi.MethodSubmit, *args, &reply)
+	switch {
+	case err == nil:
+	case peer.NotSent(err) || ctx.Err() != nil:
+		return nil, callFailure(err)
+	default:
+		return nil, nil
 	}
-	e.agents.heard(chosen.vm, &reply.Status)
-	if reply.Accepted {
-		e.deps.Timeline.Record(timeline.AttemptAccepted, args.RequestID, chosen.vm.Name)
-		return nil
+	e.agents.heard(d.chosen.vm, &reply.Status)
+	if !reply.Accepted {
+		return nil, reply.Refusal
 	}
-	return reply.Refusal
+	e.deps.Timeline.Record(timeline.AttemptAccepted, args.RequestID, d.chosen.vm.Name)
+	return &reply.First, nil
 }
 
 // cancel tells an agent that nobody waits for the run.
 func (e *Entry) cancel(chosen target, args *agentapi.SubmitArgs, reason outcome.Reason) {
-	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	message := agentapi.CancelArgs{ID: args.ID, Account: args.Account, Reason: reason}
 	var reply agentapi.CancelReply
