--- a/admission/overload_test.go
+++ b/admission/overload_test.go
@@ -111,8 +111,16 @@
 		r.agenda = append(r.agenda, happening{at: all[i].at, newly: &all[i]})
 	}
 	heap.Init(&r.agenda)
+	end := epoch
 	for r.agenda.Len() > 0 {
-		r.step(heap.Pop(&r.agenda).(happening))
+		h := heap.Pop(&r.agenda).(happening)
+		if h.newly != nil {
+			end = h.at
+		}
+		r.step(h)
+	}
+	for _, t := range r.tallies {
+		t.gap = max(t.gap, end.Sub(t.lastEnd))
 	}
 	return r
 }
@@ -235,6 +243,11 @@
 	if got := percent(top.inTime, top.offered); load < 3 && got < 99 {
 		t.Errorf("top tier: %.2f%% in time", got)
 	}
+	for class, tally := range sesame.tallies {
+		if tally.gap > time.Minute {
+			t.Errorf("class %s: %v without a completion", class, tally.gap)
+		}
+	}
 	best := max(runs[PolicyFIFO].goodput(), runs[PolicyStrict].goodput())
 	ratio := float64(sesame.goodput()) / float64(best)
 	t.Logf("goodput ratio %.2f", ratio)
