Write the calls of a connection on one goroutine

Cause: a caller of a peer that takes no bytes waited in the write, past the end of its context, and every waiting request's stack had grown to hold the encoder. Calls are now queued on a bounded ring and written by one goroutine.

Ruled out as the cause of the memory of open streams: of 54 KB a stream, 19 KB is stack and 24 KB heap before and after; net/http's buffers and the handler's stack make up most of it.

--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync/atomic"
 	"time"
 
@@ -112,7 +113,7 @@
 	n.Log.WithField("state", state).Info("process changed state")
 }
 
-// serveAdmin serves metrics, time line, status and readiness.
+// serveAdmin serves metrics, time line, status, profiles and readiness.
 func (n *Node) serveAdmin(load func() processstatus.Load, ready func() bool) (*http.Server, net.Listener, error) {
 	n.admin.Handle(processstatus.PathMetrics, n.Metrics.Handler())
 	n.admin.Handle(processstatus.PathTimeline, n.Timeline.Handler())
@@ -122,6 +123,8 @@
 			Load: load(), Counters: n.Metrics.Count(),
 		}
 	}))
+	n.admin.HandleFunc("/debug/pprof/", pprof.Index)
+	n.admin.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	n.admin.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	n.admin.HandleFunc("/readyz", Readiness(func() bool { return ready() && !n.draining.Load() }))
 	listener, err := net.Listen("tcp", n.Settings.AdminListen)
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -46,9 +46,12 @@
 		return err
 	}
 	fresh := reflect.New(reflect.TypeOf(reply).Elem())
-	call := client.Go(method, args, fresh.Interface(), make(chan *rpc.Call, 1))
+	call := &rpc.Call{ServiceMethod: method, Args: args, Reply: fresh.Interface(), Done: make(chan *rpc.Call, 1)}
+	if !client.sends.Push(call) {
+		return eris.Wrapf(ErrNotSent, "%s takes no more calls", address)
+	}
 	select {
-	case <-call.Done:
+	case call = <-call.Done:
 	case <-ctx.Done():
 		return eris.Wrapf(ctx.Err(), "peer: %s at %s", method, address)
 	}
@@ -111,7 +114,7 @@
 	turn chan struct{}
 
 	mu       sync.Mutex
-	rpc      *rpc.Client
+	rpc      *wire
 	stop     chan struct{}
 	failedAt time.Time
 	// calls is the number of calls under way; usedAt is when the last ended.
@@ -133,7 +136,7 @@
 }
 
 // retire closes the connection when it was not used for a long time.
-func (l *link) retire(client *rpc.Client) bool {
+func (l *link) retire(client *wire) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	timeout := l.pool.cfg.UnusedTimeout
@@ -146,7 +149,7 @@
 }
 
 // present returns the open connection, if there is one.
-func (l *link) present() (*rpc.Client, error) {
+func (l *link) present() (*wire, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.rpc != nil {
@@ -158,7 +161,7 @@
 	return nil, nil
 }
 
-func (l *link) client(ctx context.Context) (*rpc.Client, error) {
+func (l *link) client(ctx context.Context) (*wire, error) {
 	client, err := l.present()
 	if client != nil || err != nil {
 		return client, err
@@ -178,7 +181,7 @@
 
 // dial connects and waits for the first heartbeat, so that a peer which
 // accepts connections and never answers is found before a call is sent.
-func (l *link) dial() (*rpc.Client, error) {
+func (l *link) dial() (*wire, error) {
 	cfg := l.pool.cfg
 	raw, err := net.DialTimeout("tcp", l.address, cfg.DialTimeout)
 	if err != nil {
@@ -186,7 +189,7 @@
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
 	c := newConn(raw, cfg, &l.pool.traffic)
-	client := rpc.NewClient(c)
+	client := newWire(c)
 	if err := ping(client, cfg.DialTimeout); err != nil {
 		client.Close()
 		l.failed()
@@ -208,7 +211,7 @@
 
 // heartbeat keeps bytes going both ways on a connection that works and drops
 // one that does not. Calls and answers make a heartbeat superfluous.
-func (l *link) heartbeat(c *conn, client *rpc.Client, stop chan struct{}) {
+func (l *link) heartbeat(c *conn, client *wire, stop chan struct{}) {
 	interval := l.pool.cfg.HeartbeatInterval
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
@@ -233,7 +236,7 @@
 	}
 }
 
-func (l *link) drop(client *rpc.Client) {
+func (l *link) drop(client *wire) {
 	client.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -254,7 +257,7 @@
 	client.Close()
 }
 
-func ping(client *rpc.Client, timeout time.Duration) error {
+func ping(client *wire, timeout time.Duration) error {
 	call := client.Go(pingMethod, PingArgs{}, &PingReply{}, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
