--- a/peer/pool.go
+++ b/peer/pool.go
@@ -144,7 +144,7 @@
 		return false
 	}
 	l.rpc = nil
-	client.Close()
+	client.end()
 	return true
 }
 
@@ -191,7 +191,7 @@
 	c := newConn(raw, cfg, &l.pool.traffic)
 	client := newWire(c)
 	if err := ping(client, cfg.DialTimeout); err != nil {
-		client.Close()
+		client.end()
 		l.failed()
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
@@ -237,7 +237,7 @@
 }
 
 func (l *link) drop(client *wire) {
-	client.Close()
+	client.end()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.rpc == client {
@@ -254,7 +254,7 @@
 		return
 	}
 	close(stop)
-	client.Close()
+	client.end()
 }
 
 func ping(client *wire, timeout time.Duration) error {
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// Close ends the connection; queued calls fail.
-func (w *wire) Close() error {
+// end closes the connection; queued calls fail.
+func (w *wire) end() {
 	w.sends.Close()
-	return w.Client.Close()
+	_ = w.Close() // it only fails when the connection has ended already
 }
