End runs at a backend server that fell silent

What changed: a run whose backend server sends nothing for a minute is ended with outcome unknown, which frees the slot. A run that streams is not touched, however long it takes. Ruled out: a bound on the whole run, which would cut streams of minutes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -33,6 +33,9 @@
 	tickInterval = 10 * time.Millisecond
 	// readLease ends a repeatable run that no entry has read for so long.
 	readLease = 5 * time.Second
+	// backendSilence ends a run whose backend server sends nothing for so
+	// long. The outcome is unknown.
+	backendSilence = time.Minute
 	// deliveredRetention is how long a delivered repeatable answer is kept.
 	deliveredRetention = time.Second
 	// leaveGrace is how long a leaving agent still starts queued requests
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -270,6 +270,26 @@
 	close(b.backend.release)
 }
 
+func TestRunAtASilentBackendServerFreesItsSlot(t *testing.T) {
+	b := newBench(t, 1)
+	key := b.key()
+	b.submit(key, "payment")
+	<-b.backend.entered
+	b.clock.Advance(backendSilence + time.Second)
+	b.submit("next", "lookup")
+	if id := <-b.backend.entered; id != "next" {
+		t.Fatalf("next run %q", id)
+	}
+	reply := b.read(key, 0)
+	if reply.Refusal == nil || reply.Refusal.Outcome != outcome.Unknown || reply.Refusal.Reason != outcome.ReasonTimeout {
+		t.Fatalf("the silent run ended with %v", reply.Refusal)
+	}
+	if again := b.submit(key, "payment"); !again.Joined || b.runs(key) != 1 {
+		t.Fatalf("repeat: %+v, %d runs", again, b.runs(key))
+	}
+	close(b.backend.release)
+}
+
 func TestStaleClassIsRefused(t *testing.T) {
 	b := newBench(t, 1)
 	var reply agentapi.SubmitReply
--- a/agent/answer.go
+++ b/agent/answer.go
@@ -21,6 +21,7 @@
 	keep    bool
 	clock   clock.Clock
 	firstAt time.Time // when the first bytes came
+	lastAt  time.Time // when the last bytes came
 	events  int
 	begun   bool
 	code    int
@@ -57,6 +58,13 @@
 	return a.firstAt, a.events
 }
 
+// lastBytes returns when bytes came last; zero if none did.
+func (a *answer) lastBytes() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lastAt
+}
+
 func (a *answer) wake() {
 	close(a.changed)
 	a.changed = make(chan struct{})
@@ -85,8 +93,9 @@
 		}
 		a.mu.Lock()
 	}
+	a.lastAt = a.clock.Now()
 	if a.firstAt.IsZero() {
-		a.firstAt = a.clock.Now()
+		a.firstAt = a.lastAt
 	}
 	a.events++
 	a.data = append(a.data, data...)
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -21,6 +21,8 @@
 // it off.
 const GuardWholeAnswer mutation.Guard = "agent.whole_answer"
 
+var errSilent = errors.New("the backend server does not answer")
+
 // execute sends a run to the backend server and fills its answer. It returns
 // nil when the answer is whole, and otherwise why it is not.
 func execute(ctx context.Context, server platform.BackendServer, r *run) *outcome.Refusal {
@@ -47,6 +49,9 @@
 	if errors.As(err, &unsent) && unsent.NotSent() {
 		return outcome.Refuse(outcome.ReasonBackendServer, "the backend server cannot be reached")
 	}
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return outcome.Doubt(outcome.ReasonTimeout, errSilent.Error())
+	}
 	if ctx.Err() != nil {
 		return outcome.Doubt(outcome.ReasonCancelled, "the run was cancelled")
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -30,7 +30,7 @@
 	life    *statechart.Machine
 	started time.Time
 	ended   time.Time
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 }
 
 func newRun(args agentapi.SubmitArgs, tier int, keyed bool, now time.Time, chart *statechart.Chart, c clock.Clock) *run {
@@ -69,6 +69,16 @@
 	return now.Sub(time.Unix(0, r.lastRead.Load()))
 }
 
+// silent is how long the backend server has sent nothing for a run that has
+// started.
+func (r *run) silent(now time.Time) time.Duration {
+	since := r.started
+	if last := r.answer.lastBytes(); last.After(since) {
+		since = last
+	}
+	return now.Sub(since)
+}
+
 // over reports whether a repeatable run that ended can be forgotten.
 func (r *run) over(now time.Time) bool {
 	if r.delivered.Load() {
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -308,14 +308,14 @@
 func (s *scheduler) start(ctx context.Context, now time.Time, r *run, via string) {
 	r.fire("start")
 	r.started = now
-	runCtx, cancel := context.WithCancel(ctx)
+	runCtx, cancel := context.WithCancelCause(ctx)
 	r.cancel = cancel
 	s.running[r.args.ID] = r
 	s.meters.started(r.args.Class, now.Sub(r.arrived))
 	s.deps.Timeline.Record(timeline.RunStarted, r.args.RequestID, "via "+via)
 	go func() {
 		refusal := execute(runCtx, s.deps.BackendServer, r)
-		cancel()
+		cancel(nil)
 		mustPush(s.commands, finishedCommand{run: r, refusal: refusal})
 	}()
 }
@@ -361,7 +361,7 @@
 		return
 	}
 	s.deps.Timeline.Record(timeline.RunCancelled, r.args.RequestID, "")
-	r.cancel()
+	r.cancel(nil)
 }
 
 // find returns the run of an account, or nil. It is safe for concurrent use.
@@ -420,13 +420,19 @@
 	s.forget(now)
 }
 
-// endLeases gives up repeatable runs that no entry reads any more.
+// endLeases gives up repeatable runs that no entry reads any more, and runs at
+// a backend server that fell silent: a run that may not be repeated has no
+// other bound, and would hold its slot for ever.
 func (s *scheduler) endLeases(now time.Time) {
 	s.runs.Range(func(_, value any) bool {
 		r := value.(*run)
 		if !r.life.Final() && r.unread(now) > readLease {
 			s.giveUp(now, r)
 		}
+		if s.running[r.args.ID] == r && r.silent(now) > backendSilence {
+			s.deps.Timeline.Record(timeline.RunCancelled, r.args.RequestID, errSilent.Error())
+			r.cancel(errSilent)
+		}
 		return true
 	})
 }
