Report state and refused documents once; fix the default admin address

Cause: an agent recorded its state twice, once as a process and once by itself; a configuration document that is offered again was logged each time; sesamectl expects one admin port on all VMs, and daemons picked any.

Now the process alone reports its state, a refused document is told when its fault differs from the last, and the admin listener is 127.0.0.1:7071 unless set. Counters still count every refusal.

Measured: go test ./agent ./entry passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,7 +12,6 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesameswitch/sesameswitch/admission"
@@ -79,7 +78,6 @@
 	Clock    clock.Clock
 	Metrics  *telemetry.Metrics
 	Timeline *timeline.Recorder
-	Log      *logrus.Logger
 }
 
 // Agent runs the requests of one backend server.
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/configsync"
@@ -77,12 +75,10 @@
 	if _, err := store.Offer([]byte(testManifest), configsync.SourceService); err != nil {
 		t.Fatal(err)
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	b := &backend{runs: map[string]int{}, entered: make(chan string, 64), release: make(chan struct{})}
 	a := New(Config{VM: platform.VM{Name: "vm-1"}, Incarnation: "life-1", Services: []string{"booking"}, Slots: slots}, Dependencies{
 		BackendServer: b, Configuration: store, Clock: c, Metrics: telemetry.New(),
-		Timeline: timeline.New(timeline.Process{}, 1024, c), Log: log,
+		Timeline: timeline.New(timeline.Process{}, 1024, c),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -383,8 +383,6 @@
 		return
 	}
 	s.state = state
-	s.deps.Timeline.Record(timeline.ProcessState, "", string(state))
-	s.deps.Log.WithField("state", state).Info("agent changed state")
 	if state != agentapi.StateLeaving {
 		return
 	}
--- a/cmd/sesame-agent/main.go
+++ b/cmd/sesame-agent/main.go
@@ -62,7 +62,7 @@
 		Slots: f.Slots, Policy: policy(f.Policy), Seed: uint64(now.UnixNano()),
 	}, agent.Dependencies{
 		BackendServer: httpplatform.NewBackendServer(f.BackendURL), Configuration: n.Configuration,
-		Heard: n.HeardFrom, Clock: n.Clock, Metrics: n.Metrics, Timeline: n.Timeline, Log: log,
+		Heard: n.HeardFrom, Clock: n.Clock, Metrics: n.Metrics, Timeline: n.Timeline,
 	})
 	if err := n.PeerServer.Register("Agent", agent.NewService(a)); err != nil {
 		return err
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -171,7 +171,7 @@
 		Models: []string{"m"}, Services: []string{"booking"}, Slots: 8,
 	}, agent.Dependencies{
 		BackendServer: s, Configuration: storeOf(t, manifest), Clock: c, Metrics: telemetry.New(),
-		Timeline: timeline.New(timeline.Process{}, 256, c), Log: quiet(),
+		Timeline: timeline.New(timeline.Process{}, 256, c),
 	})
 	run(t, a.Run)
 	a.Serve()
--- a/node/node.go
+++ b/node/node.go
@@ -41,6 +41,8 @@
 	duties   *duties
 	admin    *http.ServeMux
 	draining atomic.Bool
+	// lastFault is the fault of the configuration document refused last.
+	lastFault atomic.Pointer[string]
 }
 
 // Identity names the process for its events and its peers.
@@ -90,7 +92,7 @@
 		Refused: func(verdict configsync.Verdict, from configsync.Source, err error) {
 			counter := n.Metrics.Counter("sesame_config_refused_total", "verdict", verdict.String())
 			counter.Inc(1)
-			if verdict == configsync.Older {
+			if verdict == configsync.Older || !n.faultIsNew(err) {
 				return
 			}
 			n.Timeline.Record(timeline.ConfigRefused, "", verdict.String()+" from "+string(from))
@@ -99,6 +101,14 @@
 	}
 }
 
+// faultIsNew reports whether a refused document's fault differs from the last
+// one, so that a document which is offered again and again is told once.
+func (n *Node) faultIsNew(err error) bool {
+	text := err.Error()
+	last := n.lastFault.Swap(&text)
+	return last == nil || *last != text
+}
+
 // State returns the state of the process in its chart.
 func (n *Node) State() string { return *n.life.Load() }
 
--- a/node/settings.go
+++ b/node/settings.go
@@ -15,7 +15,7 @@
 	DataCentre string `required:"" validate:"required,name" help:"Data centre of this VM."`
 	Region     string `validate:"omitempty,name" help:"Region of the data centre."`
 
-	AdminListen string `default:"127.0.0.1:0" validate:"tcp_addr" help:"Address for metrics, time line and status."`
+	AdminListen string `default:"127.0.0.1:7071" validate:"tcp_addr" help:"Address for metrics, time line and status."`
 	ConfigURL   string `name:"config-url" required:"" validate:"url" help:"Base URL of the configuration service."`
 	ConfigKey   string `default:"sesame-manifest" help:"Key of the manifest in the configuration service."`
 	VMListURL   string `name:"vm-list-url" required:"" validate:"url" help:"Base URL of the list of VMs."`
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -159,7 +159,7 @@
 
 func (b *Bed) common(vm, dataCentre, policy string) []string {
 	args := []string{
-		"--vm", vm, "--data-centre", dataCentre,
+		"--vm", vm, "--data-centre", dataCentre, "--admin-listen", "127.0.0.1:0",
 		"--config-url", "http://" + b.Config.Address(""), "--config-key", ConfigKey,
 		"--vm-list-url", "http://" + b.VMs.Address(""),
 	}
