--- a/make/prove.mk
+++ b/make/prove.mk
@@ -20,7 +20,7 @@
 	@$(MUTATE) --mutation idempotency.join
 	@$(MUTATE) --mutation idempotency.body_sum
 	@$(MUTATE) --mutation idempotency.incarnation --faults kill-agent
-	@$(MUTATE) --mutation idempotency.refused_mark --first-seed 4
+	@$(MUTATE) --mutation idempotency.refused_mark --first-seed 5
 	@$(MUTATE) --mutation agent.whole_answer --faults service-short
 	@$(MUTATE) --mutation configsync.version --faults config-stale-and-restart
 	@$(MUTATE) --mutation node.drain --faults end-agent,end-entry
--- a/prove/caller.go
+++ b/prove/caller.go
@@ -33,6 +33,9 @@
 	copyDelay = 700 * time.Millisecond
 	maxPause  = 120 * time.Millisecond
 	maxTokens = 300
+	// maxLongTokens bounds the answers of one in longEvery streams.
+	maxLongTokens = 1500
+	longEvery     = 8
 )
 
 // payment is a request with a key, which may be sent several times.
@@ -74,6 +77,13 @@
 	return k.rng.IntN(n)
 }
 
+func (k *caller) drawTokens() int {
+	if k.draw(longEvery) == 0 {
+		return 1 + k.draw(maxLongTokens)
+	}
+	return 1 + k.draw(maxTokens)
+}
+
 func (k *caller) anyEntry() *member { return k.entries[k.draw(len(k.entries))] }
 
 // run sends requests until the deadline.
@@ -100,7 +110,7 @@
 
 // pay mints a key and uses it in one of the ways that callers do.
 func (k *caller) pay(class string) {
-	p := payment{class: class, mark: k.mark(), account: accountKey, tokens: 1 + k.draw(maxTokens)}
+	p := payment{class: class, mark: k.mark(), account: accountKey, tokens: k.drawTokens()}
 	var err error
 	if p.key, err = k.mint(class); err != nil {
 		return
@@ -202,7 +212,7 @@
 // chat streams an answer that may be repeated.
 func (k *caller) chat() {
 	call := history.Call{}
-	k.stream(&call, payment{class: classChat, mark: k.mark(), account: accountKey, tokens: 1 + k.draw(maxTokens)}, callPatience)
+	k.stream(&call, payment{class: classChat, mark: k.mark(), account: accountKey, tokens: k.drawTokens()}, callPatience)
 	k.c.recorder.Call(call)
 }
 
--- a/prove/cluster.go
+++ b/prove/cluster.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +22,7 @@
 	adminTimeout  = time.Second
 	configKey     = "manifest"
 	// scarceKeysEvery makes each seed divisible by it run with scarceKeys.
-	scarceKeysEvery = 4
+	scarceKeysEvery = 5
 )
 
 // member is a process of the system under test.
@@ -289,11 +290,14 @@
 	return nil
 }
 
-// putVMs makes the list of VMs tell the present members and states.
-func (c *cluster) putVMs() error {
+// putVMs makes the list of VMs tell the present members and states, but for
+// those left out.
+func (c *cluster) putVMs(leftOut ...*member) error {
 	var vms []platform.VM
 	for _, m := range c.members() {
-		vms = append(vms, m.vm)
+		if !slices.Contains(leftOut, m) {
+			vms = append(vms, m.vm)
+		}
 	}
 	return c.put(c.addresses["vmlist"], "/admin/vms", vms)
 }
--- a/prove/fault.go
+++ b/prove/fault.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/platform"
@@ -42,6 +44,10 @@
 		{"lose-answers", false, linked(linkLosesAnswers)},
 		{"end-agent", true, ended(agents)},
 		{"end-entry", true, ended(entries)},
+		{"end-twice", true, endedTwice},
+		{"end-during-start", false, endedDuringStart},
+		{"replace-entries", true, replaceEntries},
+		{"freeze-unlisted-entry", false, frozenUnlisted},
 		{"agent-leaves", true, leaves},
 		{"config-down", true, standInFault("config", config.Faults{Down: true}, config.Faults{})},
 		{"config-hung", true, standInFault("config", config.Faults{Hang: true}, config.Faults{})},
@@ -75,9 +81,9 @@
 }
 
 // pairEvery makes each seed divisible by it cause two failures at once.
-const pairEvery = 3
+const pairEvery = 4
 
-// draw picks the failures of a seed: a pair for each third seed and one alone
+// draw picks the failures of a seed: a pair for each fourth seed and one alone
 // for the others, which go through the catalogue in order.
 func draw(seed uint64, rng *rand.Rand, only []string) []fault {
 	all := catalogue()
@@ -177,6 +183,80 @@
 	return m.start()
 }
 
+// endedTwice ends a member gracefully with a second signal, which must change
+// nothing.
+func endedTwice(c *cluster, rng *rand.Rand, lasting time.Duration) error {
+	m := pick(rng, c.members())
+	release := c.claim(m)
+	defer release()
+	var second sync.WaitGroup
+	second.Go(func() {
+		time.Sleep(secondSignal)
+		m.signal(syscall.SIGTERM)
+	})
+	err := c.replace(m, max(lasting, 2*secondSignal))
+	second.Wait()
+	return err
+}
+
+// secondSignal is how long after the first SIGTERM a second one comes.
+const secondSignal = 100 * time.Millisecond
+
+// endedDuringStart kills a member and asks its next life to end while it
+// starts.
+func endedDuringStart(c *cluster, rng *rand.Rand, lasting time.Duration) error {
+	m := pick(rng, c.members())
+	release := c.claim(m)
+	defer release()
+	c.saveTimeline(m)
+	m.kill()
+	if err := m.start(); err != nil {
+		return err
+	}
+	time.Sleep(lasting / 50)
+	c.note("terminate " + m.name + " during its start")
+	if err := m.terminate(); err != nil {
+		return err
+	}
+	c.note("start " + m.name)
+	return m.start()
+}
+
+// replaceEntries ends all entries one after another, each when the one before
+// is ready again.
+func replaceEntries(c *cluster, _ *rand.Rand, _ time.Duration) error {
+	for _, m := range c.entries {
+		release := c.claim(m)
+		err := c.replace(m, 0)
+		if err == nil {
+			err = c.await(startPatience, func() bool { return c.ready(m) })
+		}
+		release()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// frozenUnlisted freezes an entry until the list of VMs no longer has it, and
+// lists it again some time after it woke.
+func frozenUnlisted(c *cluster, rng *rand.Rand, lasting time.Duration) error {
+	m := pick(rng, c.entries)
+	release := c.claim(m)
+	defer release()
+	c.note("freeze " + m.name)
+	m.freeze()
+	if err := c.putVMs(m); err != nil {
+		return err
+	}
+	time.Sleep(lasting)
+	c.note("thaw " + m.name)
+	m.thaw()
+	time.Sleep(lasting)
+	return c.putVMs()
+}
+
 // leaves makes the list of VMs say that an agent leaves, before the agent is
 // told to end.
 func leaves(c *cluster, rng *rand.Rand, lasting time.Duration) error {
