Serve streams on connections taken over from the HTTP server

Cause: an open stream held the server's 10 KiB of buffers, its connection's goroutine with a grown stack and a second one. A stream now goes on in a goroutine of its own on the connection, which ends with the answer; trailers, hang-ups and drain work as before.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -74,7 +74,7 @@
 		default:
 			d.inFlight.Add(1)
 			defer d.inFlight.Add(-1)
-			next.ServeHTTP(w, r)
+			next.ServeHTTP(&takenWriter{ResponseWriter: w}, r)
 		}
 	})
 }
@@ -129,7 +129,7 @@
 func (d *Daemon) Idle() bool {
 	select {
 	case <-d.shut:
-		return true
+		return d.entry.streams.Load() == 0
 	default:
 		return false
 	}
@@ -137,5 +137,5 @@
 
 // Load is how busy the entry is.
 func (d *Daemon) Load() processstatus.Load {
-	return processstatus.Load{Running: int(d.inFlight.Load())}
+	return processstatus.Load{Running: int(d.inFlight.Load() + d.entry.streams.Load())}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -108,6 +109,8 @@
 	budget  *retry.Budget
 	limiter *limiter
 	meters  *meters
+	// streams counts the streams on connections of their own.
+	streams atomic.Int64
 }
 
 // New returns an entry. Run makes its duties work; Handler serves callers.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -282,17 +282,26 @@
 	return nil
 }
 
-// answer serves a request that was accepted at the entry.
+// answer serves a request that was accepted at the entry. A stream goes on
+// after this returns when its connection could be taken over.
 func (e *Entry) answer(ctx iris.Context, req *request) {
-	var out finalSink
-	if req.args.Stream {
-		out = newStreamSink(ctx.ResponseWriter(), req.id)
-	} else {
-		out = newBufferSink(ctx.ResponseWriter(), req.id)
-	}
 	e.budget.SetShare(req.retryShare)
 	e.budget.Request(e.deps.Clock.Now())
-	refusal := e.serve(ctx.Request().Context(), req, out)
+	if !req.args.Stream {
+		e.finish(ctx.Request().Context(), req, newBufferSink(ctx.ResponseWriter(), req.id))
+		return
+	}
+	if conn, ok := detach(ctx.ResponseWriter(), ctx.Request()); ok {
+		e.streams.Add(1)
+		go e.serveDetached(conn, req)
+		return
+	}
+	e.finish(ctx.Request().Context(), req, newStreamSink(ctx.ResponseWriter(), req.id))
+}
+
+// finish serves a request and gives the final word on it.
+func (e *Entry) finish(ctx context.Context, req *request, out finalSink) {
+	refusal := e.serve(ctx, req, out)
 	out.end(refusal)
 	e.meters.answered(req, refusal, e.since(req.received))
 	if refusal == nil {
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -72,12 +72,17 @@
 
 func (s *streamSink) head(code int, header map[string]string) {
 	s.begun = true
-	h := s.w.Header()
-	copyHeaders(h, header)
+	streamHeaders(s.w.Header(), header, s.id)
+	s.w.WriteHeader(code)
+}
+
+// streamHeaders sets the headers of a stream.
+func streamHeaders(h http.Header, from map[string]string, id string) {
+	copyHeaders(h, from)
+	h.Del("Content-Length")
 	h.Set("Cache-Control", "no-store")
 	h.Set("Trailer", outcome.HeaderOutcome)
-	h.Set(HeaderRequestID, s.id)
-	s.w.WriteHeader(code)
+	h.Set(HeaderRequestID, id)
 }
 
 func (s *streamSink) write(data []byte) error {
@@ -99,13 +104,18 @@
 		writeProblem(s.w, s.id, refusal)
 		return
 	}
-	problem, err := json.Marshal(refusal.Problem(s.id))
+	_ = s.write(errorEvent(refusal, s.id)) // a caller that is gone has no use for the error
+	s.w.Header().Set(outcome.HeaderOutcome, string(refusal.Outcome))
+}
+
+// errorEvent is the event that ends a stream which broke.
+func errorEvent(refusal *outcome.Refusal, id string) []byte {
+	problem, err := json.Marshal(refusal.Problem(id))
 	if err != nil {
 		panic(err) // a Problem has only fields that can be encoded
 	}
 	event := append([]byte("event: error\ndata: "), problem...)
-	_ = s.write(append(event, "\n\n"...)) // a caller that is gone has no use for the error
-	s.w.Header().Set(outcome.HeaderOutcome, string(refusal.Outcome))
+	return append(event, "\n\n"...)
 }
 
 func copyHeaders(to http.Header, from map[string]string) {
@@ -116,15 +126,18 @@
 
 // writeProblem answers with a problem document.
 func writeProblem(w http.ResponseWriter, id string, refusal *outcome.Refusal) {
-	h := w.Header()
+	problemHeaders(w.Header(), id, refusal)
+	w.WriteHeader(refusal.Status())
+	_ = json.NewEncoder(w).Encode(refusal.Problem(id)) // a caller that is gone has no use for the error
+}
+
+func problemHeaders(h http.Header, id string, refusal *outcome.Refusal) {
 	h.Set("Content-Type", outcome.ProblemContentType)
 	h.Set(outcome.HeaderOutcome, string(refusal.Outcome))
 	h.Set(HeaderRequestID, id)
 	if seconds := refusal.RetryAfterSeconds(); seconds > 0 {
 		h.Set("Retry-After", strconv.Itoa(seconds))
 	}
-	w.WriteHeader(refusal.Status())
-	_ = json.NewEncoder(w).Encode(refusal.Problem(id)) // a caller that is gone has no use for the error
 }
 
 func writeJSON(w http.ResponseWriter, status int, value any) {
