--- a/load/memory.go
+++ b/load/memory.go
@@ -19,6 +19,9 @@
 	IdleBytes int64 `json:"idle_bytes"`
 	// OpenBytes is the most that was seen while all streams were open.
 	OpenBytes int64 `json:"open_bytes"`
+	// Goroutines and HeapBytes are what the entry itself counts then.
+	Goroutines int64 `json:"goroutines"`
+	HeapBytes  int64 `json:"heap_bytes"`
 }
 
 const (
@@ -60,12 +63,34 @@
 		figure.OpenBytes = max(figure.OpenBytes, bytes)
 	}
 	figure.Streams = open.Load()
+	if err := figure.readGauges(ctx, c.entries[0].Address("admin")); err != nil {
+		return nil, err
+	}
 	if figure.Streams < int64(o.Streams) {
 		return nil, eris.Errorf("%d of %d streams are open", figure.Streams, o.Streams)
 	}
 	return &figure, nil
 }
 
+// readGauges takes the gauges of the entry's own metrics.
+func (f *MemoryFigure) readGauges(ctx context.Context, admin string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/metrics", nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "metrics of the entry")
+	}
+	defer response.Body.Close()
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		_, _ = fmt.Sscanf(scanner.Text(), "sesame_process_goroutines %d", &f.Goroutines) // other lines do not match
+		_, _ = fmt.Sscanf(scanner.Text(), "sesame_process_heap_bytes %d", &f.HeapBytes)  // other lines do not match
+	}
+	return scanner.Err()
+}
+
 // openStreams opens all streams, some at a time, and waits for their first
 // events.
 func (o *Overhead) openStreams(ctx context.Context, p *probe, readers *sync.WaitGroup, open *atomic.Int64) {
--- a/load/overhead.go
+++ b/load/overhead.go
@@ -258,8 +258,8 @@
 			f.Samples, f.Direct.P50, f.Direct.P99, f.Through.P50, f.Through.P99, median, p99, aim)
 	}
 	if m := r.Memory; m != nil {
-		fmt.Fprintf(&page, "\nOne entry with %d open streams: %.0f MiB resident (%.0f MiB before), aim < 256 MiB: %s.\n",
-			m.Streams, mebibytes(m.OpenBytes), mebibytes(m.IdleBytes), met(m.OpenBytes < aimStreamsBytes))
+		fmt.Fprintf(&page, "\nOne entry with %d open streams: %.0f MiB resident (%.0f MiB before; heap %.0f MiB, %d goroutines), aim < 256 MiB: %s.\n",
+			m.Streams, mebibytes(m.OpenBytes), mebibytes(m.IdleBytes), mebibytes(m.HeapBytes), m.Goroutines, met(m.OpenBytes < aimStreamsBytes))
 	}
 	return page.String()
 }
