Put the peers' version in force before a stale service's document

A confirmation now takes the peers' version first, and the watch of the service begins after the first confirmation. A confirmation of a process that has a version asks the service only when no peer answers: a hung service would hold up the first request after a pause by 1.5 s.

--- a/configsync/config.go
+++ b/configsync/config.go
@@ -44,6 +44,9 @@
 	NeighbourPeriod time.Duration
 	// ConfirmTimeout bounds Confirm.
 	ConfirmTimeout time.Duration
+	// StartPatience is how long the watch of the service waits for the first
+	// confirmation.
+	StartPatience time.Duration
 	// FreshFor is how long an answer of a peer or of the service counts as a
 	// confirmation of the version in force.
 	FreshFor time.Duration
@@ -63,6 +66,7 @@
 		DutyCheck:       time.Second,
 		NeighbourPeriod: 10 * time.Minute,
 		ConfirmTimeout:  1500 * time.Millisecond,
+		StartPatience:   5 * time.Second,
 		FreshFor:        5 * time.Second,
 	}
 }
--- a/configsync/confirm.go
+++ b/configsync/confirm.go
@@ -34,24 +34,40 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.Timing.ConfirmTimeout)
 	defer cancel()
+	result := s.confirm(ctx)
+	s.confirmedOnce.Do(func() { close(s.confirmed) })
+	s.touch(s.cfg.Clock.Now())
+	return result
+}
+
+// confirm asks peers and, when there is no version yet or no peer answers,
+// the configuration service. The peers' version goes first, so that a stale
+// service's document does not come into force before it.
+func (s *Syncer) confirm(ctx context.Context) Confirmation {
+	var fromService platform.Document
+	read := false
+	var questions errgroup.Group
+	if s.cfg.Store.Current() == nil {
+		questions.Go(func() error {
+			fromService, read = s.readService(ctx)
+			return nil
+		})
+	}
 	asked := s.sample(confirmPeers)
 	answers := make([]Offer, len(asked))
-	result := Confirmation{}
-	var questions errgroup.Group
 	for i, vm := range asked {
 		questions.Go(func() error {
 			s.askVersion(ctx, vm, &answers[i])
 			return nil
 		})
 	}
-	questions.Go(func() error {
-		result.Service = s.readService(ctx)
-		return nil
-	})
 	_ = questions.Wait()
-	result.Peers = s.adopt(ctx, answers)
+	result := Confirmation{Peers: s.adopt(ctx, answers)}
+	if result.Peers == 0 && !read {
+		fromService, read = s.readService(ctx)
+	}
+	result.Service = read && s.acceptFromService(fromService)
 	result.Version = s.cfg.Store.Version()
-	s.touch(s.cfg.Clock.Now())
 	return result
 }
 
@@ -88,17 +104,23 @@
 	return answered
 }
 
-// readService reads the configuration service and offers what it says.
-func (s *Syncer) readService(ctx context.Context) bool {
+// readService reads the configuration service.
+func (s *Syncer) readService(ctx context.Context) (platform.Document, bool) {
 	if s.cfg.Source == nil {
-		return false
+		return platform.Document{}, false
 	}
 	s.counts.ServiceCalls.Add(1)
 	doc, err := s.cfg.Source.Read(ctx)
 	if err != nil {
 		s.counts.ServiceFailures.Add(1)
-		return false
+		return platform.Document{}, false
 	}
+	return doc, true
+}
+
+// acceptFromService offers what the service said and reports whether it was
+// a valid document.
+func (s *Syncer) acceptFromService(doc platform.Document) bool {
 	verdict, _ := s.cfg.Store.Offer(doc.Body, SourceService)
 	switch verdict {
 	case Accepted:
@@ -107,7 +129,6 @@
 	case Same:
 		s.revision.Store(doc.Revision)
 	case Older:
-		return true
 	default:
 		return false
 	}
--- a/configsync/syncer.go
+++ b/configsync/syncer.go
@@ -76,8 +76,10 @@
 	// refused is the digest of the last document from a peer that was not
 	// taken; guarded by pulling.
 	refused delta.Digest
-	// confirming serialises confirmations.
-	confirming sync.Mutex
+	// confirming serialises confirmations; confirmed is closed by the first.
+	confirming    sync.Mutex
+	confirmed     chan struct{}
+	confirmedOnce sync.Once
 
 	randMu sync.Mutex
 
@@ -91,6 +93,7 @@
 		cfg:        cfg,
 		hints:      make(chan hint, hintRingSize),
 		announcing: make(chan struct{}, 1),
+		confirmed:  make(chan struct{}),
 		watch:      watchState{pause: cfg.Timing.MinPause},
 	}
 }
--- a/configsync/syncer_test.go
+++ b/configsync/syncer_test.go
@@ -28,6 +28,9 @@
 	if got.Version != 9 || got.Peers == 0 || !got.Service {
 		t.Fatalf("confirmation %+v", got)
 	}
+	if len(n.versions) != 1 {
+		t.Fatalf("the process started with versions %v, one after another", n.versions)
+	}
 	for range 5 {
 		c.round()
 	}
@@ -94,6 +97,18 @@
 	}
 }
 
+func TestWokenProcessDoesNotWaitForTheService(t *testing.T) {
+	c := newCluster(t, 3)
+	for _, n := range c.nodes {
+		n.store.Offer(document(1, "d"), SourceService)
+	}
+	c.sources[0].hang = true
+	got := c.nodes[0].syncer.Confirm(t.Context())
+	if got.Peers != 2 || c.sources[0].calls != 0 {
+		t.Fatalf("confirmation %+v with %d calls to the service", got, c.sources[0].calls)
+	}
+}
+
 func TestServiceFaults(t *testing.T) {
 	good := document(2, "d")
 	faults := []struct {
--- a/configsync/watch.go
+++ b/configsync/watch.go
@@ -22,8 +22,10 @@
 }
 
 // watchDuty watches the configuration service while this process is elected.
+// It begins after the first confirmation, so that a process which just
+// started asks its peers before it believes a service that may be stale.
 func (s *Syncer) watchDuty(ctx context.Context) {
-	if s.cfg.Source == nil {
+	if s.cfg.Source == nil || !s.awaitConfirmation(ctx) {
 		return
 	}
 	for {
@@ -39,6 +41,20 @@
 	}
 }
 
+// awaitConfirmation waits for the first confirmation, but not for long. It
+// returns false when the context ends first.
+func (s *Syncer) awaitConfirmation(ctx context.Context) bool {
+	timer := time.NewTimer(s.cfg.Timing.StartPatience)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.confirmed:
+	case <-timer.C:
+	}
+	return true
+}
+
 // onDuty reports whether this process is a watcher now.
 func (s *Syncer) onDuty() bool {
 	now := s.cfg.Clock.Now().UnixNano()
--- a/slopes/fleet.go
+++ b/slopes/fleet.go
@@ -152,6 +152,7 @@
 	f.running.Go(func() { _ = m.server.Serve(m.listener) })
 	f.running.Go(func() { m.watcher.Run(ctx) })
 	f.running.Go(func() { m.syncer.Run(ctx) })
+	f.running.Go(func() { m.syncer.Confirm(ctx) })
 	return nil
 }
 
