--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,7 +12,6 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesameswitch/sesameswitch/admission"
@@ -33,6 +32,9 @@
 	tickInterval = 10 * time.Millisecond
 	// readLease ends a repeatable run that no entry has read for so long.
 	readLease = 5 * time.Second
+	// backendSilence ends a run whose backend server sends nothing for so
+	// long. The outcome is unknown.
+	backendSilence = time.Minute
 	// deliveredRetention is how long a delivered repeatable answer is kept.
 	deliveredRetention = time.Second
 	// leaveGrace is how long a leaving agent still starts queued requests
@@ -76,7 +78,6 @@
 	Clock    clock.Clock
 	Metrics  *telemetry.Metrics
 	Timeline *timeline.Recorder
-	Log      *logrus.Logger
 }
 
 // Agent runs the requests of one backend server.
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,8 @@
 	duties   *duties
 	admin    *http.ServeMux
 	draining atomic.Bool
+	// lastFault is the fault of the configuration document refused last.
+	lastFault atomic.Pointer[string]
 }
 
 // Identity names the process for its events and its peers.
@@ -89,7 +92,7 @@
 		Refused: func(verdict configsync.Verdict, from configsync.Source, err error) {
 			counter := n.Metrics.Counter("sesame_config_refused_total", "verdict", verdict.String())
 			counter.Inc(1)
-			if verdict == configsync.Older {
+			if verdict == configsync.Older || !n.faultIsNew(err) {
 				return
 			}
 			n.Timeline.Record(timeline.ConfigRefused, "", verdict.String()+" from "+string(from))
@@ -98,6 +101,14 @@
 	}
 }
 
+// faultIsNew reports whether a refused document's fault differs from the last
+// one, so that a document which is offered again and again is told once.
+func (n *Node) faultIsNew(err error) bool {
+	text := err.Error()
+	last := n.lastFault.Swap(&text)
+	return last == nil || *last != text
+}
+
 // State returns the state of the process in its chart.
 func (n *Node) State() string { return *n.life.Load() }
 
@@ -112,7 +123,7 @@
 	n.Log.WithField("state", state).Info("process changed state")
 }
 
-// serveAdmin serves metrics, time line, status and readiness.
+// serveAdmin serves metrics, time line, status, profiles and readiness.
 func (n *Node) serveAdmin(load func() processstatus.Load, ready func() bool) (*http.Server, net.Listener, error) {
 	n.admin.Handle(processstatus.PathMetrics, n.Metrics.Handler())
 	n.admin.Handle(processstatus.PathTimeline, n.Timeline.Handler())
@@ -122,6 +133,8 @@
 			Load: load(), Counters: n.Metrics.Count(),
 		}
 	}))
+	n.admin.HandleFunc("/debug/pprof/", pprof.Index)
+	n.admin.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	n.admin.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	n.admin.HandleFunc("/readyz", Readiness(func() bool { return ready() && !n.draining.Load() }))
 	listener, err := net.Listen("tcp", n.Settings.AdminListen)
--- a/prove/caller.go
+++ b/prove/caller.go
@@ -29,8 +29,13 @@
 	// hastyPatience is how long a caller waits that repeats its key while the
 	// first attempt may still run.
 	hastyPatience = 60 * time.Millisecond
-	maxPause      = 120 * time.Millisecond
-	maxTokens     = 300
+	// copyDelay is how long after a refusal a copy of the request arrives.
+	copyDelay = 700 * time.Millisecond
+	maxPause  = 120 * time.Millisecond
+	maxTokens = 300
+	// maxLongTokens bounds the answers of one in longEvery streams.
+	maxLongTokens = 1500
+	longEvery     = 8
 )
 
 // payment is a request with a key, which may be sent several times.
@@ -44,10 +49,11 @@
 
 // caller sends requests through all entries and records what it saw.
 type caller struct {
-	c      *cluster
-	client *http.Client
-	name   string
-	sent   int
+	c       *cluster
+	client  *http.Client
+	entries []*member
+	name    string
+	sent    int
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -57,10 +63,11 @@
 
 func newCaller(c *cluster, seed uint64, number int) *caller {
 	return &caller{
-		c:      c,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
-		name:   fmt.Sprintf("caller-%d", number),
-		rng:    rand.New(rand.NewPCG(seed, uint64(number)+1)),
+		c:       c,
+		entries: c.entries,
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		name:    fmt.Sprintf("caller-%d", number),
+		rng:     rand.New(rand.NewPCG(seed, uint64(number)+1)),
 	}
 }
 
@@ -70,7 +77,14 @@
 	return k.rng.IntN(n)
 }
 
-func (k *caller) anyEntry() *member { return k.c.entries[k.draw(len(k.c.entries))] }
+func (k *caller) drawTokens() int {
+	if k.draw(longEvery) == 0 {
+		return 1 + k.draw(maxLongTokens)
+	}
+	return 1 + k.draw(maxTokens)
+}
+
+func (k *caller) anyEntry() *member { return k.entries[k.draw(len(k.entries))] }
 
 // run sends requests until the deadline.
 func (k *caller) run(until time.Duration) {
@@ -83,7 +97,7 @@
 		case choice < 8:
 			k.chat()
 		default:
-			k.lookup()
+			k.lookup(k.mark())
 		}
 		time.Sleep(time.Duration(k.draw(int(maxPause))))
 	}
@@ -96,7 +110,7 @@
 
 // pay mints a key and uses it in one of the ways that callers do.
 func (k *caller) pay(class string) {
-	p := payment{class: class, mark: k.mark(), account: accountKey, tokens: 1 + k.draw(maxTokens)}
+	p := payment{class: class, mark: k.mark(), account: accountKey, tokens: k.drawTokens()}
 	var err error
 	if p.key, err = k.mint(class); err != nil {
 		return
@@ -121,12 +135,19 @@
 	}
 }
 
+// payAgainOnDoubt repeats until the outcome is known. A refusal as not_run is
+// tried once more, as a delayed copy of the request would.
 func (k *caller) payAgainOnDoubt(p payment) {
 	for range 3 {
 		call := k.use(p, callPatience)
-		if call.Returned && call.Outcome != outcome.Unknown {
-			return
+		if !call.Returned || call.Outcome == outcome.Unknown {
+			continue
 		}
+		if call.Outcome == outcome.NotRun {
+			time.Sleep(copyDelay)
+			k.use(p, callPatience)
+		}
+		return
 	}
 }
 
@@ -134,7 +155,7 @@
 func (k *caller) mint(class string) (string, error) {
 	want := map[string]string{"class": class, "service": serviceName}
 	if class == classOrder {
-		want = map[string]string{"class": class, "model": modelName}
+		want = map[string]string{"class": class, "model": orderModel}
 	}
 	body, err := json.Marshal(want)
 	if err != nil {
@@ -178,7 +199,7 @@
 	if p.account != accountKey {
 		request = otherAccount + "/" + p.mark
 	}
-	call := history.Call{Key: p.key, Request: request}
+	call := history.Call{Key: p.key, Request: request, Hasty: patience == hastyPatience}
 	if p.class == classOrder {
 		k.stream(&call, p, patience)
 	} else {
@@ -191,14 +212,14 @@
 // chat streams an answer that may be repeated.
 func (k *caller) chat() {
 	call := history.Call{}
-	k.stream(&call, payment{class: classChat, mark: k.mark(), account: accountKey, tokens: 1 + k.draw(maxTokens)}, callPatience)
+	k.stream(&call, payment{class: classChat, mark: k.mark(), account: accountKey, tokens: k.drawTokens()}, callPatience)
 	k.c.recorder.Call(call)
 }
 
 // lookup calls the service for something that may be repeated.
-func (k *caller) lookup() {
+func (k *caller) lookup(mark string) {
 	call := history.Call{}
-	p := payment{class: classLookup, mark: k.mark(), account: accountKey}
+	p := payment{class: classLookup, mark: mark, account: accountKey}
 	k.callService(&call, p, "/seats/"+p.mark, callPatience)
 	k.c.recorder.Call(call)
 }
@@ -274,8 +295,12 @@
 func (k *caller) stream(call *history.Call, p payment, patience time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
+	model := chatModel
+	if p.class == classOrder {
+		model = orderModel
+	}
 	body, _ := json.Marshal(engine.Request{ // a struct of strings and numbers can be encoded
-		Model: modelName, Stream: true, Tokens: p.tokens,
+		Model: model, Stream: true, Tokens: p.tokens,
 		Messages: []engine.Message{{Role: "user", Content: p.mark}},
 	})
 	// The system sets the priority; callers must not.
--- a/prove/cluster.go
+++ b/prove/cluster.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	startPatience = 30 * time.Second
 	adminTimeout  = time.Second
 	configKey     = "manifest"
+	// scarceKeysEvery makes each seed divisible by it run with scarceKeys.
+	scarceKeysEvery = 5
 )
 
 // member is a process of the system under test.
@@ -49,6 +52,7 @@
 	entries   []*member
 	agents    []*member
 	recorder  history.Recorder
+	limits    keyLimits
 
 	mu      sync.Mutex
 	version uint64
@@ -61,8 +65,13 @@
 // now is the time since the start of the history.
 func (c *cluster) now() time.Duration { return time.Since(c.began) }
 
-func newCluster(opts Options) *cluster {
+func newCluster(opts Options, seed uint64) *cluster {
+	limits := ampleKeys
+	if seed%scarceKeysEvery == 0 {
+		limits = scarceKeys
+	}
 	return &cluster{
+		limits:    limits,
 		opts:      opts,
 		began:     time.Now(),
 		client:    &http.Client{Timeout: adminTimeout},
@@ -75,7 +84,7 @@
 	if err := c.startStandIns(); err != nil {
 		return err
 	}
-	if err := c.publish(1, manifestOf(1), true); err != nil {
+	if err := c.publish(1, c.manifestOf(1), true); err != nil {
 		return err
 	}
 	if err := c.startMembers(); err != nil {
@@ -96,7 +105,7 @@
 		return err
 	}
 	for _, name := range []string{"engine-1", "engine-2"} {
-		p, err := c.standIn(name, "engine", "--models", modelName, "--time-scale", "10", "--slots", "8")
+		p, err := c.standIn(name, "engine", "--models", chatModel+","+orderModel, "--time-scale", "10", "--slots", "8")
 		if err != nil {
 			return err
 		}
@@ -200,7 +209,7 @@
 	m.vm.Address = m.link.address()
 	m.args = append(m.args, "--listen", peers, "--backend-url", "http://"+c.addresses[backend], "--slots", "8")
 	if backend[:1] == "e" {
-		m.args = append(m.args, "--backend-kind", "engine", "--models", modelName)
+		m.args = append(m.args, "--backend-kind", "engine", "--models", chatModel+","+orderModel)
 	} else {
 		m.args = append(m.args, "--backend-kind", "service", "--services", serviceName)
 	}
@@ -281,11 +290,14 @@
 	return nil
 }
 
-// putVMs makes the list of VMs tell the present members and states.
-func (c *cluster) putVMs() error {
+// putVMs makes the list of VMs tell the present members and states, but for
+// those left out.
+func (c *cluster) putVMs(leftOut ...*member) error {
 	var vms []platform.VM
 	for _, m := range c.members() {
-		vms = append(vms, m.vm)
+		if !slices.Contains(leftOut, m) {
+			vms = append(vms, m.vm)
+		}
 	}
 	return c.put(c.addresses["vmlist"], "/admin/vms", vms)
 }
--- a/prove/fault.go
+++ b/prove/fault.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/platform"
@@ -34,12 +36,18 @@
 		{"kill-entry", false, killed(entries)},
 		{"freeze-agent", false, frozen(agents)},
 		{"freeze-entry", false, frozen(entries)},
+		{"freeze-agent-long", false, frozenLong(agents)},
+		{"freeze-entry-long", false, frozenLong(entries)},
 		{"cut-link", false, linked(linkCut)},
 		{"silent-link", false, linked(linkSilent)},
 		{"lose-requests", false, linked(linkLosesRequests)},
 		{"lose-answers", false, linked(linkLosesAnswers)},
 		{"end-agent", true, ended(agents)},
 		{"end-entry", true, ended(entries)},
+		{"end-twice", true, endedTwice},
+		{"end-during-start", false, endedDuringStart},
+		{"replace-entries", true, replaceEntries},
+		{"freeze-unlisted-entry", false, frozenUnlisted},
 		{"agent-leaves", true, leaves},
 		{"config-down", true, standInFault("config", config.Faults{Down: true}, config.Faults{})},
 		{"config-hung", true, standInFault("config", config.Faults{Hang: true}, config.Faults{})},
@@ -72,18 +80,21 @@
 	return names
 }
 
-// draw picks one failure for odd seeds and a pair for even ones. Successive
-// seeds go through the catalogue, so that every failure occurs alone.
+// pairEvery makes each seed divisible by it cause two failures at once.
+const pairEvery = 4
+
+// draw picks the failures of a seed: a pair for each fourth seed and one alone
+// for the others, which go through the catalogue in order.
 func draw(seed uint64, rng *rand.Rand, only []string) []fault {
 	all := catalogue()
 	if len(only) > 0 {
 		all = slices.DeleteFunc(all, func(f fault) bool { return !slices.Contains(only, f.name) })
 	}
-	chosen := []fault{all[seed/2%uint64(len(all))]}
-	if seed%2 == 0 {
-		chosen = []fault{all[rng.IntN(len(all))], all[rng.IntN(len(all))]}
+	if seed%pairEvery == 0 {
+		return []fault{all[rng.IntN(len(all))], all[rng.IntN(len(all))]}
 	}
-	return chosen
+	alone := seed - seed/pairEvery - 1
+	return []fault{all[alone%uint64(len(all))]}
 }
 
 func agents(c *cluster) []*member  { return c.agents }
@@ -121,6 +132,16 @@
 	}
 }
 
+// longFreeze is longer than every timeout of the processes.
+const longFreeze = 32 * time.Second
+
+// frozenLong is frozen for longer than every timeout.
+func frozenLong(group func(*cluster) []*member) func(*cluster, *rand.Rand, time.Duration) error {
+	return func(c *cluster, rng *rand.Rand, _ time.Duration) error {
+		return frozen(group)(c, rng, longFreeze)
+	}
+}
+
 // linked damages the link to an agent.
 func linked(state linkState) func(*cluster, *rand.Rand, time.Duration) error {
 	return func(c *cluster, rng *rand.Rand, lasting time.Duration) error {
@@ -162,6 +183,80 @@
 	return m.start()
 }
 
+// endedTwice ends a member gracefully with a second signal, which must change
+// nothing.
+func endedTwice(c *cluster, rng *rand.Rand, lasting time.Duration) error {
+	m := pick(rng, c.members())
+	release := c.claim(m)
+	defer release()
+	var second sync.WaitGroup
+	second.Go(func() {
+		time.Sleep(secondSignal)
+		m.signal(syscall.SIGTERM)
+	})
+	err := c.replace(m, max(lasting, 2*secondSignal))
+	second.Wait()
+	return err
+}
+
+// secondSignal is how long after the first SIGTERM a second one comes.
+const secondSignal = 100 * time.Millisecond
+
+// endedDuringStart kills a member and asks its next life to end while it
+// starts.
+func endedDuringStart(c *cluster, rng *rand.Rand, lasting time.Duration) error {
+	m := pick(rng, c.members())
+	release := c.claim(m)
+	defer release()
+	c.saveTimeline(m)
+	m.kill()
+	if err := m.start(); err != nil {
+		return err
+	}
+	time.Sleep(lasting / 50)
+	c.note("terminate " + m.name + " during its start")
+	if err := m.terminate(); err != nil {
+		return err
+	}
+	c.note("start " + m.name)
+	return m.start()
+}
+
+// replaceEntries ends all entries one after another, each when the one before
+// is ready again.
+func replaceEntries(c *cluster, _ *rand.Rand, _ time.Duration) error {
+	for _, m := range c.entries {
+		release := c.claim(m)
+		err := c.replace(m, 0)
+		if err == nil {
+			err = c.await(startPatience, func() bool { return c.ready(m) })
+		}
+		release()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// frozenUnlisted freezes an entry until the list of VMs no longer has it, and
+// lists it again some time after it woke.
+func frozenUnlisted(c *cluster, rng *rand.Rand, lasting time.Duration) error {
+	m := pick(rng, c.entries)
+	release := c.claim(m)
+	defer release()
+	c.note("freeze " + m.name)
+	m.freeze()
+	if err := c.putVMs(m); err != nil {
+		return err
+	}
+	time.Sleep(lasting)
+	c.note("thaw " + m.name)
+	m.thaw()
+	time.Sleep(lasting)
+	return c.putVMs()
+}
+
 // leaves makes the list of VMs say that an agent leaves, before the agent is
 // told to end.
 func leaves(c *cluster, rng *rand.Rand, lasting time.Duration) error {
@@ -185,7 +280,7 @@
 // with an old version only.
 func staleStart(c *cluster, rng *rand.Rand, lasting time.Duration) error {
 	version := c.nextVersion()
-	if err := c.publish(version, manifestOf(version), true); err != nil {
+	if err := c.publish(version, c.manifestOf(version), true); err != nil {
 		return err
 	}
 	time.Sleep(c.opts.InForceWithin)
@@ -211,13 +306,13 @@
 func operators(c *cluster, _ *rand.Rand, _ time.Duration) error {
 	first, second, third := c.nextVersion(), c.nextVersion(), c.nextVersion()
 	c.note(fmt.Sprintf("publish %d, %d (invalid), %d", first, second, third))
-	if err := c.publish(third, manifestOf(third), true); err != nil {
+	if err := c.publish(third, c.manifestOf(third), true); err != nil {
 		return err
 	}
-	if err := c.publish(second, invalidManifest(second), false); err != nil {
+	if err := c.publish(second, c.invalidManifest(second), false); err != nil {
 		return err
 	}
-	return c.publish(first, manifestOf(first), true)
+	return c.publish(first, c.manifestOf(first), true)
 }
 
 // standInFault switches a fault of a stand-in on and off.
