--- a/prove/recovery.go
+++ b/prove/recovery.go
@@ -28,21 +28,30 @@
 	outage = 12 * time.Second
 )
 
-// scenario is one failure whose recovery is measured.
+// scenario is one failure whose recovery is measured: some times, each with a
+// name.
 type scenario struct {
 	name    string
-	measure func(c *cluster) (time.Duration, error)
+	parts   []string
+	measure func(c *cluster) ([]time.Duration, error)
 }
 
+// Names of what is measured.
+var (
+	probeParts = []string{"last impaired call", "slowest call"}
+	readyParts = []string{"started again until ready"}
+	forceParts = []string{"back until in force everywhere"}
+)
+
 func scenarios() []scenario {
 	return []scenario{
-		{"agent killed: last impaired call that may be repeated", probed(func(c *cluster) { c.agents[2].kill() })},
-		{"agent frozen: last impaired call that may be repeated", probed(func(c *cluster) { c.agents[2].freeze() })},
-		{"silent connection: last impaired call that may be repeated", probed(func(c *cluster) { c.agents[2].link.set(linkSilent) })},
-		{"agent killed: started again until ready", restarted(func(c *cluster) *member { return c.agents[2] })},
-		{"entry killed: started again until ready", restarted(func(c *cluster) *member { return c.entries[0] })},
-		{"configuration service down, back: until in force everywhere", outageOf(config.Faults{Down: true})},
-		{"configuration service hung, back: until in force everywhere", outageOf(config.Faults{Hang: true})},
+		{"agent killed", probeParts, probed(func(c *cluster) { c.agents[2].kill() })},
+		{"agent frozen", probeParts, probed(func(c *cluster) { c.agents[2].freeze() })},
+		{"silent connection", probeParts, probed(func(c *cluster) { c.agents[2].link.set(linkSilent) })},
+		{"agent killed", readyParts, restarted(func(c *cluster) *member { return c.agents[2] })},
+		{"entry killed", readyParts, restarted(func(c *cluster) *member { return c.entries[0] })},
+		{"configuration service down", forceParts, outageOf(config.Faults{Down: true})},
+		{"configuration service hung", forceParts, outageOf(config.Faults{Hang: true})},
 	}
 }
 
@@ -50,35 +59,40 @@
 // each, and writes a line for each failure.
 func Recoveries(opts Options, repeats int, out io.Writer) error {
 	for _, s := range scenarios() {
-		var times []time.Duration
+		times := make([][]time.Duration, len(s.parts))
 		for range repeats {
 			took, err := measure(opts, s)
 			if err != nil {
 				return eris.Wrap(err, s.name)
 			}
-			times = append(times, took)
+			for i := range took {
+				times[i] = append(times[i], took[i])
+			}
+		}
+		for i, part := range s.parts {
+			slices.Sort(times[i])
+			fmt.Fprintf(out, "%s: %s: least %v, median %v, most %v of %d\n", s.name, part,
+				times[i][0].Round(time.Millisecond), times[i][repeats/2].Round(time.Millisecond),
+				times[i][repeats-1].Round(time.Millisecond), repeats)
 		}
-		slices.Sort(times)
-		fmt.Fprintf(out, "%s: least %v, median %v, most %v of %d\n", s.name,
-			times[0].Round(time.Millisecond), times[len(times)/2].Round(time.Millisecond),
-			times[len(times)-1].Round(time.Millisecond), repeats)
 	}
 	return nil
 }
 
-func measure(opts Options, s scenario) (time.Duration, error) {
+func measure(opts Options, s scenario) ([]time.Duration, error) {
 	c := newCluster(opts, 1)
 	defer c.close()
 	if err := c.start(); err != nil {
-		return 0, err
+		return nil, err
 	}
 	return s.measure(c)
 }
 
 // probed sends calls at a steady pace through one entry, causes a failure and
-// returns how long after it the last call began that failed or took too long.
-func probed(cause func(*cluster)) func(*cluster) (time.Duration, error) {
-	return func(c *cluster) (time.Duration, error) {
+// returns how long after it the last call began that failed or took too long,
+// and how long the slowest call took.
+func probed(cause func(*cluster)) func(*cluster) ([]time.Duration, error) {
+	return func(c *cluster) ([]time.Duration, error) {
 		k := newCaller(c, 1, 0)
 		k.entries = c.entries[:1]
 		var group sync.WaitGroup
@@ -92,53 +106,54 @@
 			group.Go(func() { k.lookup(mark) })
 		}
 		group.Wait()
-		return lastImpaired(c.recorder.History(), failed), nil
+		return impairment(c.recorder.History(), failed), nil
 	}
 }
 
-func lastImpaired(h history.History, failed time.Duration) time.Duration {
-	last := time.Duration(0)
+func impairment(h history.History, failed time.Duration) []time.Duration {
+	var last, slowest time.Duration
 	for _, call := range h.Calls {
-		slow := call.Completed-call.Invoked > impairedAfter
-		if slow || !call.Returned || call.Outcome != outcome.Completed {
+		took := call.Completed - call.Invoked
+		slowest = max(slowest, took)
+		if took > impairedAfter || !call.Returned || call.Outcome != outcome.Completed {
 			last = max(last, call.Invoked-failed)
 		}
 	}
-	return last
+	return []time.Duration{last, slowest}
 }
 
 // restarted kills a member, starts it at once and returns the time until it
 // is ready.
-func restarted(which func(*cluster) *member) func(*cluster) (time.Duration, error) {
-	return func(c *cluster) (time.Duration, error) {
+func restarted(which func(*cluster) *member) func(*cluster) ([]time.Duration, error) {
+	return func(c *cluster) ([]time.Duration, error) {
 		m := which(c)
 		m.kill()
 		began := c.now()
 		if err := m.start(); err != nil {
-			return 0, err
+			return nil, err
 		}
 		err := c.await(startPatience, func() bool { return c.ready(m) })
-		return c.now() - began, err
+		return []time.Duration{c.now() - began}, err
 	}
 }
 
 // outageOf publishes a version while the configuration service is at fault
 // and returns the time from its mending until all members have the version.
-func outageOf(faults config.Faults) func(*cluster) (time.Duration, error) {
-	return func(c *cluster) (time.Duration, error) {
+func outageOf(faults config.Faults) func(*cluster) ([]time.Duration, error) {
+	return func(c *cluster) ([]time.Duration, error) {
 		if err := c.setFaults("config", faults); err != nil {
-			return 0, err
+			return nil, err
 		}
 		version := c.nextVersion()
 		if err := c.publish(version, c.manifestOf(version), true); err != nil {
-			return 0, err
+			return nil, err
 		}
 		time.Sleep(outage + time.Duration(rand.Int64N(int64(time.Second))))
 		if err := c.setFaults("config", config.Faults{}); err != nil {
-			return 0, err
+			return nil, err
 		}
 		began := c.now()
 		err := c.await(serviceRecovery, func() bool { return c.atLeast(version) == len(c.members()) })
-		return c.now() - began, err
+		return []time.Duration{c.now() - began}, err
 	}
 }
