Give the baselines no deadlines

Cause: first come first served and strict priority dropped what could no longer meet its target, which is a part of the policy that they are compared with; a plain queue runs what it holds until the caller gives up.

What changed: under the baseline policies a request has no time by which it must start. The callers' patience and the entry's timeouts hold as before.

--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -234,13 +234,19 @@
 	if known {
 		q.Cost = typical.Whole
 	}
-	if r.args.TargetLeft > 0 {
+	if r.args.TargetLeft > 0 && s.deadlines() {
 		lead := min(s.leadTime(r, class), r.args.TargetLeft*maxLeadPercent/100)
 		q.StartBy = now.Add(r.args.TargetLeft - lead)
 	}
 	return q
 }
 
+// deadlines reports whether the policy knows deadlines. The baselines run what
+// they queued, however late, until its caller gives up.
+func (s *scheduler) deadlines() bool {
+	return s.cfg.Policy != admission.PolicyFIFO && s.cfg.Policy != admission.PolicyStrict
+}
+
 // leadTime is how long after its start a run will have met its target: at
 // its first token, or at its end for a target of the whole call.
 func (s *scheduler) leadTime(r *run, class *manifest.Class) time.Duration {
