--- a/configsync/property_test.go
+++ b/configsync/property_test.go
@@ -40,7 +40,7 @@
 // goBack makes one replica answer with an old version.
 func (f *fleet) goBack(t *rapid.T) {
 	if f.published == 0 {
-		t.Skip("nothing published")
+		return
 	}
 	source := f.cluster.sources[f.pick(t)]
 	source.publish(rapid.Uint64Range(1, f.published).Draw(t, "version"))
