Record class, account, peer, outcome and reason as attributes of events

Cause: agent and entry put these into the free text of an event, so that tools could not filter or count by them.

Measured: go test ./agent ./entry passes; make demo prints the same ways.

--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -217,7 +217,7 @@
 	}
 	r.fire("queue")
 	s.runs.Store(r.args.ID, r)
-	s.deps.Timeline.Record(timeline.RunQueued, r.args.RequestID, r.args.Class)
+	s.note(timeline.RunQueued, r, "", timeline.Attributes{})
 	return agentapi.SubmitReply{Accepted: true, Status: *s.status.Load()}
 }
 
@@ -274,7 +274,7 @@
 func (s *scheduler) refuse(now time.Time, r *run, refusal *outcome.Refusal) {
 	r.refuse(now, refusal)
 	s.meters.refused(refusal.Reason)
-	s.deps.Timeline.Record(timeline.RunShed, r.args.RequestID, string(refusal.Reason))
+	s.note(timeline.RunShed, r, refusal.Detail, timeline.Attributes{Reason: string(refusal.Reason)})
 	if r.keyed {
 		s.table.Withdraw(r.args.ID, refusal)
 		return
@@ -284,8 +284,18 @@
 	}
 }
 
+// note records an event of a run with its class, account and entry.
+func (s *scheduler) note(kind timeline.Kind, r *run, detail string, more timeline.Attributes) {
+	more.Class = r.args.Class
+	more.Account = r.args.Account
+	more.Peer = r.args.Entry
+	s.deps.Timeline.RecordWith(kind, r.args.RequestID, detail, more)
+}
+
 func (s *scheduler) refused(args *agentapi.SubmitArgs, refusal *outcome.Refusal) agentapi.SubmitReply {
-	s.deps.Timeline.Record(timeline.AttemptRefused, args.RequestID, string(refusal.Reason))
+	s.deps.Timeline.RecordWith(timeline.AttemptRefused, args.RequestID, refusal.Detail, timeline.Attributes{
+		Class: args.Class, Account: args.Account, Peer: args.Entry, Reason: string(refusal.Reason), Outcome: string(refusal.Outcome),
+	})
 	return agentapi.SubmitReply{Refusal: refusal, Status: *s.status.Load()}
 }
 
@@ -318,7 +328,7 @@
 	r.cancel = cancel
 	s.running[r.args.ID] = r
 	s.meters.started(r.args.Class, now.Sub(r.arrived))
-	s.deps.Timeline.Record(timeline.RunStarted, r.args.RequestID, "via "+via)
+	s.note(timeline.RunStarted, r, "via "+via, timeline.Attributes{})
 	go func() {
 		refusal := execute(runCtx, s.deps.BackendServer, r)
 		cancel(nil)
@@ -342,7 +352,7 @@
 	}
 	r.answer.finish(refusal)
 	s.meters.finished(r.args.Class, now.Sub(r.started), refusal)
-	s.deps.Timeline.Record(timeline.RunFinished, r.args.RequestID, r.life.State())
+	s.note(timeline.RunFinished, r, r.life.State(), timeline.Attributes{})
 	if !r.keyed {
 		s.ended = append(s.ended, r)
 	}
@@ -366,7 +376,7 @@
 		s.refuse(now, r, outcome.Refuse(outcome.ReasonCancelled, "the caller gave up"))
 		return
 	}
-	s.deps.Timeline.Record(timeline.RunCancelled, r.args.RequestID, "")
+	s.note(timeline.RunCancelled, r, "", timeline.Attributes{})
 	r.cancel(nil)
 }
 
@@ -434,7 +444,7 @@
 			s.giveUp(now, r)
 		}
 		if s.running[r.args.ID] == r && r.silent(now) > backendSilence {
-			s.deps.Timeline.Record(timeline.RunCancelled, r.args.RequestID, errSilent.Error())
+			s.note(timeline.RunCancelled, r, errSilent.Error(), timeline.Attributes{})
 			r.cancel(errSilent)
 		}
 		return true
--- a/demo/way.go
+++ b/demo/way.go
@@ -28,7 +28,7 @@
 	}
 	fmt.Fprintf(out, "the way of the slowest completed request, %s:\n", requestID)
 	for _, e := range timeline.Merge(lists...) {
-		fmt.Fprintf(out, "  %s  %-18s %-17s %s\n", e.Time.Format("15:04:05.000000"), e.Process.VM, e.Kind, e.Detail)
+		fmt.Fprintf(out, "  %s  %-18s %-17s %s %s\n", e.Time.Format("15:04:05.000000"), e.Process.VM, e.Kind, e.Attributes.Peer, e.Detail)
 	}
 	return nil
 }
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -110,7 +110,7 @@
 	if err != nil || after == before {
 		return
 	}
-	t.deps.Timeline.Record(timeline.VMState, "", view.vm.Name+" "+after)
+	t.deps.Timeline.RecordWith(timeline.VMState, "", after, timeline.Attributes{Peer: view.vm.Name})
 	t.deps.Log.WithField("vm", view.vm.Name).WithField("state", after).Info("agent changed state")
 }
 
@@ -233,7 +233,7 @@
 		view.breaker.Failure(now)
 	}
 	if after := view.breaker.State(); after != before {
-		t.deps.Timeline.Record(timeline.BreakerState, "", chosen.vm.Name+" "+string(after))
+		t.deps.Timeline.RecordWith(timeline.BreakerState, "", string(after), timeline.Attributes{Peer: chosen.vm.Name})
 	}
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -103,7 +103,7 @@
 	}
 	args.Incarnation = chosen.incarnation
 	args.TargetLeft = req.targetLeft(sent)
-	e.deps.Timeline.Record(timeline.AttemptSent, req.id, chosen.vm.Name)
+	e.deps.Timeline.RecordWith(timeline.AttemptSent, req.id, "", timeline.Attributes{Peer: chosen.vm.Name})
 	d := &delivery{entry: e, req: req, chosen: chosen, id: args.ID, got: got, out: out, sent: sent}
 	e.agents.observe(chosen, d.seen(routing.KindSent))
 	first, refusal := e.submit(ctx, d, &args)
@@ -154,7 +154,7 @@
 	if !reply.Accepted {
 		return nil, reply.Refusal
 	}
-	e.deps.Timeline.Record(timeline.AttemptAccepted, args.RequestID, d.chosen.vm.Name)
+	e.deps.Timeline.RecordWith(timeline.AttemptAccepted, args.RequestID, "", timeline.Attributes{Peer: d.chosen.vm.Name})
 	return &reply.First, nil
 }
 
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -214,7 +214,7 @@
 		e.refuse(ctx, req.id, refusal)
 		return
 	}
-	e.deps.Timeline.Record(timeline.RequestReceived, req.id, req.class.Name)
+	e.deps.Timeline.RecordWith(timeline.RequestReceived, req.id, "", timeline.Attributes{Class: req.class.Name, Account: req.account.Name})
 	e.answer(ctx, req)
 }
 
@@ -305,10 +305,12 @@
 	out.end(refusal)
 	e.meters.answered(req, refusal, e.since(req.received))
 	if refusal == nil {
-		e.deps.Timeline.Record(timeline.AnswerCompleted, req.id, "")
+		e.deps.Timeline.RecordWith(timeline.AnswerCompleted, req.id, "", timeline.Attributes{Outcome: string(outcome.Completed)})
 		return
 	}
-	e.deps.Timeline.Record(timeline.AnswerFailed, req.id, string(refusal.Outcome)+" "+string(refusal.Reason))
+	e.deps.Timeline.RecordWith(timeline.AnswerFailed, req.id, refusal.Detail, timeline.Attributes{
+		Outcome: string(refusal.Outcome), Reason: string(refusal.Reason),
+	})
 }
 
 func (e *Entry) serve(ctx context.Context, req *request, out sink) *outcome.Refusal {
@@ -321,7 +323,9 @@
 // refuse answers a request that got no further than the entry.
 func (e *Entry) refuse(ctx iris.Context, id string, refusal *outcome.Refusal) {
 	e.meters.refused("", refusal.Reason)
-	e.deps.Timeline.Record(timeline.RequestRefused, id, string(refusal.Reason))
+	e.deps.Timeline.RecordWith(timeline.RequestRefused, id, refusal.Detail, timeline.Attributes{
+		Outcome: string(refusal.Outcome), Reason: string(refusal.Reason),
+	})
 	writeProblem(ctx.ResponseWriter(), id, refusal)
 }
 
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -46,7 +46,7 @@
 	began := e.deps.Clock.Now()
 	for {
 		args.TargetLeft = req.targetLeft(e.deps.Clock.Now())
-		e.deps.Timeline.Record(timeline.AttemptSent, req.id, d.chosen.vm.Name)
+		e.deps.Timeline.RecordWith(timeline.AttemptSent, req.id, "", timeline.Attributes{Peer: d.chosen.vm.Name})
 		first, refusal := e.submit(ctx, d, args)
 		if first != nil {
 			return first, nil
