Interpret the chart of a configuration version

Cause: the chart was drawn and tested but nothing ran by it. The store now moves each judged document along the chart and the version in force to its end when it is superseded.

Measured: go test ./configsync/... passes, the property tests included.

--- a/configsync/store.go
+++ b/configsync/store.go
@@ -18,6 +18,7 @@
 	"github.com/sesameswitch/sesameswitch/configsync/delta"
 	"github.com/sesameswitch/sesameswitch/internal/mutation"
 	"github.com/sesameswitch/sesameswitch/manifest"
+	"github.com/sesameswitch/sesameswitch/statechart"
 )
 
 // Source names where a document came from: SourceService or a peer's address.
@@ -72,10 +73,12 @@
 	Refused func(verdict Verdict, from Source, err error)
 }
 
-// inForce is one accepted version. It is immutable.
+// inForce is one accepted version. All but its life is immutable.
 type inForce struct {
 	view     *manifest.View
 	document *delta.Indexed
+	// life is changed under the store's lock only.
+	life *statechart.Machine
 }
 
 // Store holds the version in force. It is safe for concurrent use; reads take
@@ -83,6 +86,7 @@
 type Store struct {
 	clock   clock.Clock
 	hooks   Hooks
+	chart   *statechart.Chart
 	current atomic.Pointer[inForce]
 
 	mu      sync.Mutex
@@ -98,7 +102,7 @@
 
 // NewStore returns an empty store.
 func NewStore(c clock.Clock, hooks Hooks) *Store {
-	return &Store{clock: c, hooks: hooks, changed: make(chan struct{})}
+	return &Store{clock: c, hooks: hooks, chart: statechart.MustLoad("configuration"), changed: make(chan struct{})}
 }
 
 // Offer validates a document and puts it in force when its version is higher
@@ -134,29 +138,58 @@
 	if s.lastBadErr != nil && digest == s.lastBad {
 		return Invalid, 0, s.lastBadErr
 	}
-	m, err := manifest.Parse(body)
-	if err != nil {
+	life := s.chart.New()
+	m, verdict, err := s.validate(now, body)
+	if verdict != Accepted {
+		fire(life, "refuse")
+	}
+	switch verdict {
+	case Accepted:
+		fire(life, "validate")
+		s.put(&inForce{view: manifest.NewView(m), document: doc, life: life})
+	case Invalid:
 		s.lastBad, s.lastBadErr = digest, err
 		return Invalid, 0, err
 	}
+	return verdict, m.Version, err
+}
+
+// validate parses a document and compares its version with the one in force.
+func (s *Store) validate(now *inForce, body []byte) (*manifest.Manifest, Verdict, error) {
+	m, err := manifest.Parse(body)
+	if err != nil {
+		return nil, Invalid, err
+	}
 	if now != nil && m.Version < now.view.Version() && !mutation.Off(GuardVersion) {
-		return Older, m.Version, eris.Wrapf(ErrOlder, "version %d offered, %d in force", m.Version, now.view.Version())
+		return m, Older, eris.Wrapf(ErrOlder, "version %d offered, %d in force", m.Version, now.view.Version())
 	}
 	if now != nil && m.Version == now.view.Version() {
-		return Conflict, m.Version, eris.Wrapf(ErrConflict, "version %d", m.Version)
+		return m, Conflict, eris.Wrapf(ErrConflict, "version %d", m.Version)
 	}
-	s.put(&inForce{view: manifest.NewView(m), document: doc})
-	return Accepted, m.Version, nil
+	return m, Accepted, nil
 }
 
+// put brings a valid version into force.
 func (s *Store) put(next *inForce) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if last := s.current.Load(); last != nil {
+		fire(last.life, "supersede")
+	}
+	fire(next.life, "activate")
 	s.current.Store(next)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// fire moves a version along its chart. The store asks only for moves that
+// the chart allows, so an error is a broken invariant.
+func fire(life *statechart.Machine, event string) {
+	if _, err := life.Fire(event); err != nil {
+		panic(err)
+	}
+}
+
 // Current returns the view in force, or nil before the first.
 func (s *Store) Current() *manifest.View {
 	if now := s.current.Load(); now != nil {
