Set the policy against the better baseline of each scenario

Cause: the table of runs left the ratios to the reader. Change: a second table with the ratios and whether the aims are met; the demand of a scenario is worked out from its arrivals. Ruled out: telling overload from refusals, which depend on the policy.

--- a/load/load_test.go
+++ b/load/load_test.go
@@ -62,11 +62,7 @@
 // The load of a scenario is what its description says of the capacity.
 func TestScenariosLoadTheEngines(t *testing.T) {
 	for _, s := range scenarios(t) {
-		tokens := 0
-		for _, arrival := range s.Arrivals() {
-			tokens += arrival.Tokens
-		}
-		load := float64(tokens) / s.Duration.Seconds() / s.TokensPerSecond()
+		load := s.Demand()
 		low, high := 1.2, 3.0
 		if s.Name == "no-overload" {
 			low, high = 0.3, 0.7
@@ -163,6 +159,30 @@
 	}
 }
 
+func TestCompareTakesTheBetterBaseline(t *testing.T) {
+	scenario := &Scenario{
+		Name: "s", Duration: time.Second, Engines: Engines{Count: 1, Slots: 1, StepTime: time.Second},
+		Accounts: []Account{{Name: "a"}}, Classes: []Class{{Tokens: 5, Rate: []RatePoint{{PerSecond: 100}}}},
+	}
+	class := []ClassSummary{{Attainment: 0.995}, {LongestGapMillis: 1500}}
+	summaries := []Summary{
+		{Scenario: "s", Policy: "round-robin", Goodput: 10, GoodputTokens: 100, Wasted: 90, Classes: class},
+		{Scenario: "s", Policy: "least", Goodput: 8, GoodputTokens: 110, Wasted: 30, Classes: class},
+		{Scenario: "s", Policy: "sesame", Goodput: 15, GoodputTokens: 165, Wasted: 15, Classes: class},
+		{Scenario: "other", Policy: "least", Goodput: 99, Classes: class},
+	}
+	got, ok := compare(scenario, summaries)
+	want := comparison{
+		scenario: "s", overload: true, topTier: 0.995, goodputRatio: 1.5, tokenRatio: 1.5, wasteRatio: 0.5, lowestGap: 1.5,
+	}
+	if !ok || got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+	if _, ok := compare(&Scenario{Name: "other"}, summaries); ok {
+		t.Error("compared without the policy")
+	}
+}
+
 func TestAttemptTellsEndsApart(t *testing.T) {
 	settings := engine.DefaultSettings()
 	settings.TimeScale = 200
--- a/load/report.go
+++ b/load/report.go
@@ -88,9 +88,12 @@
 		strconv.FormatUint(s.Generated, 10))
 }
 
-// Markdown returns the table of the runs: a row for each scenario and policy.
+// Markdown returns two tables: the policy against the better baseline in each
+// scenario, and a row for each run.
 func Markdown(scenarios []*Scenario, summaries []Summary) string {
 	var page strings.Builder
+	page.WriteString(aimsTable(scenarios, summaries))
+	page.WriteString("\n")
 	page.WriteString("| scenario | policy | attainment by class (tier) | goodput /s | wasted tokens | longest gap | ends other than completed |\n")
 	page.WriteString("|---|---|---|---:|---:|---|---|\n")
 	for _, scenario := range scenarios {
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -145,3 +145,13 @@
 	step := s.Engines.StepTime.Seconds() * (1 + s.Engines.StepGrowth*float64(s.Engines.Slots-1))
 	return float64(s.Engines.Count*s.Engines.Slots) / step
 }
+
+// Demand returns the tokens asked for, as a part of what the engines produce
+// in the time.
+func (s *Scenario) Demand() float64 {
+	tokens := 0
+	for _, arrival := range s.Arrivals() {
+		tokens += arrival.Tokens
+	}
+	return float64(tokens) / s.Duration.Seconds() / s.TokensPerSecond()
+}
