Keep a slot free for the top tier as soon as lower tiers back up

Cause: the guard learns from requests that came close to their deadline; a burst of seconds is over before it has learnt.

What changed: one slot is kept free from the start while the top tier is active, lower tiers have waited for longer than a run takes, and on average fewer than 5.3 slots become free in the time that a top-tier request has.

--- a/admission/guard.go
+++ b/admission/guard.go
@@ -20,6 +20,12 @@
 	guardStep = 0.25
 	// guardHalfLife is how fast the guard shrinks by itself.
 	guardHalfLife = 5 * time.Minute
+	// safeReleases is how many slots have to become free, on average, in the
+	// time that a request of the top tier has, for it to go without a guard:
+	// none becomes free then with a probability of 0.5%.
+	safeReleases = 5.3
+	// topMemory is how long the top tier counts as active.
+	topMemory = 10 * time.Second
 	// maxGuarded bounds the share of slots that is kept free.
 	maxGuarded = 0.5
 )
@@ -61,12 +67,66 @@
 // guardLimit is the most slots that are kept free.
 func (q *Queue) guardLimit() float64 { return math.Floor(maxGuarded * float64(q.cfg.Slots)) }
 
+// demand is what the queue knows of when a guard is needed before requests of
+// the top tier come late.
+type demand struct {
+	// topAt is when a request of the top tier was last offered, and had is
+	// the time that they have to start.
+	topAt time.Time
+	had   mean
+	// backlogSince is since when lower tiers have waited without a break.
+	backlogSince time.Time
+}
+
+// offered takes in a request.
+func (d *demand) offered(now time.Time, tier int, r *Request) {
+	if tier != topTier || r.StartBy.IsZero() {
+		return
+	}
+	d.topAt = now
+	d.had.add(r.StartBy.Sub(now))
+}
+
+// watch takes in whether lower tiers have anything queued.
+func (d *demand) watch(now time.Time, waiting bool) {
+	if !waiting {
+		d.backlogSince = time.Time{}
+	} else if d.backlogSince.IsZero() {
+		d.backlogSince = now
+	}
+}
+
+// base returns the guard that is needed from the start: one slot while the top
+// tier is active, lower tiers wait for longer than a run takes, and too few
+// slots become free in the time that the top tier has.
+func (q *Queue) base(now time.Time) int {
+	d := &q.demand
+	if d.backlogSince.IsZero() || now.Sub(d.backlogSince) < q.service.value || now.Sub(d.topAt) > topMemory {
+		return 0
+	}
+	releases := float64(q.cfg.Slots) * float64(d.had.value) / float64(max(1, q.service.value))
+	if releases > safeReleases {
+		return 0
+	}
+	return int(min(1, q.guardLimit()))
+}
+
+// lowerQueued reports whether a tier below the top has anything queued.
+func (q *Queue) lowerQueued() bool {
+	for _, c := range q.classes {
+		if c.tier > topTier && c.queued > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // guarded reports whether the free slots are kept for a higher tier.
-func (q *Queue) guarded(c *classQueue) bool {
+func (q *Queue) guarded(now time.Time, c *classQueue) bool {
 	if q.cfg.Policy != PolicySesame || c.tier == topTier {
 		return false
 	}
-	return q.cfg.Slots-q.running <= int(q.guard.slots+0.5)
+	return q.cfg.Slots-q.running <= max(int(q.guard.slots+0.5), q.base(now))
 }
 
 // observeWait tells the guard how long a request of the top tier waited.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -24,6 +24,7 @@
 	sequence    uint64
 	service     mean
 	guard       guard
+	demand      demand
 	// startedAt is when each tier last had its turn other than by a floor.
 	startedAt [Tiers]time.Time
 	byID      map[string]*Request
@@ -53,6 +54,7 @@
 		return nil, outcome.Refuse(outcome.ReasonBadRequest, "a request with this ID is queued already")
 	}
 	r.place.cost = q.expectedCost(c, r)
+	q.demand.offered(now, c.tier, r)
 	if q.tooLate(now, c, r) {
 		return nil, q.refuse(now, r, outcome.ReasonDeadline, "the request cannot start in time")
 	}
@@ -201,7 +203,8 @@
 // reports the end of each run by Finished.
 func (q *Queue) Next(now time.Time) (r *Request, via Via) {
 	q.guard.decay(now)
-	c, via := q.choose()
+	q.demand.watch(now, q.lowerQueued())
+	c, via := q.choose(now)
 	if c == nil {
 		return nil, ViaNone
 	}
@@ -220,7 +223,7 @@
 
 // choose returns the class that starts next, or nil when nothing waits or the
 // free slots are kept for the top tier.
-func (q *Queue) choose() (*classQueue, Via) {
+func (q *Queue) choose(now time.Time) (*classQueue, Via) {
 	first := q.byTier()
 	if first == nil {
 		return nil, ViaNone
@@ -228,7 +231,7 @@
 	if due := q.byFloor(); due != nil && due != first {
 		return due, ViaFloor
 	}
-	if first.credit < claimDue && q.guarded(first) {
+	if first.credit < claimDue && q.guarded(now, first) {
 		return nil, ViaNone
 	}
 	return first, ViaTier
