Keep the run of a slow caller while its entry lives

Cause: an agent gave up a repeatable run that was not read for 5 s. An entry whose caller reads slowly does not ask for more meanwhile, so a stream that a caller left unread for a while was cancelled. An agent now notes when it heard each entry and gives up early only for entries that fell silent.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -30,8 +30,12 @@
 	commandRingSize = 4096
 	// tickInterval is how often the scheduler looks for expired requests.
 	tickInterval = 10 * time.Millisecond
-	// readLease ends a repeatable run that no entry has read for so long.
+	// readLease ends a repeatable run that was not read for so long, when its
+	// entry was not heard either.
 	readLease = 5 * time.Second
+	// slowCallerLease ends a repeatable run that was not read for so long by an
+	// entry that lives. An entry gives up a caller that takes nothing earlier.
+	slowCallerLease = 40 * time.Second
 	// backendSilence ends a run whose backend server sends nothing for so
 	// long. The outcome is unknown.
 	backendSilence = time.Minute
--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -23,9 +23,7 @@
 // request waits for the first part of the answer when that was asked for.
 func (s *Service) Submit(args agentapi.SubmitArgs, reply *agentapi.SubmitReply) error {
 	a := s.agent
-	if a.deps.Heard != nil {
-		a.deps.Heard(args.ConfigVersion, args.Entry)
-	}
+	a.heard(args.Entry, args.ConfigVersion)
 	answers := make(chan agentapi.SubmitReply, 1)
 	if !a.commands.Push(submitCommand{args: &args, reply: answers}) {
 		*reply = a.overrun(&args)
@@ -38,6 +36,14 @@
 	return nil
 }
 
+// heard takes up a sign of life of an entry and the version it named.
+func (a *Agent) heard(entry string, version uint64) {
+	a.schedule.entries.heard(entry, a.deps.Clock.Now())
+	if a.deps.Heard != nil {
+		a.deps.Heard(version, entry)
+	}
+}
+
 // overrun refuses a request that the scheduler has no room to look at. A
 // request with a key may be a repeat of one that ran, so its outcome is open.
 func (a *Agent) overrun(args *agentapi.SubmitArgs) agentapi.SubmitReply {
@@ -59,6 +65,7 @@
 	if r == nil {
 		return agentapi.ReadReply{Status: a.Status()}
 	}
+	a.schedule.entries.heard(r.args.Entry, a.deps.Clock.Now())
 	p := a.await(r, args)
 	reply := agentapi.ReadReply{
 		Known: !p.lost, Begun: p.begun, Code: p.code, Header: p.header, Data: p.data,
@@ -105,9 +112,7 @@
 
 // Status answers a heartbeat of an entry.
 func (s *Service) Status(args agentapi.StatusArgs, reply *agentapi.StatusReply) error {
-	if s.agent.deps.Heard != nil {
-		s.agent.deps.Heard(args.ConfigVersion, args.Entry)
-	}
+	s.agent.heard(args.Entry, args.ConfigVersion)
 	reply.Status = s.agent.Status()
 	return nil
 }
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -38,9 +38,10 @@
 	ended     []*run // repeatable runs that are over but may still be read
 	forgotten time.Time
 
-	runs   sync.Map // string -> *run, for readers
-	status atomic.Pointer[agentapi.Status]
-	idle   atomic.Bool
+	runs    sync.Map // string -> *run, for readers
+	entries *entryTimes
+	status  atomic.Pointer[agentapi.Status]
+	idle    atomic.Bool
 }
 
 func newScheduler(cfg Config, deps Dependencies, commands *ring.Ring[command]) *scheduler {
@@ -52,6 +53,7 @@
 		meters:    newMeters(deps.Metrics),
 		state:     agentapi.StateStarting,
 		running:   map[string]*run{},
+		entries:   newEntryTimes(),
 		estimates: estimate.New(estimate.Config{}),
 	}
 	s.publish(deps.Clock.Now())
@@ -432,6 +434,7 @@
 	s.forgotten = now
 	s.endLeases(now)
 	s.forget(now)
+	s.entries.forget(now, slowCallerLease)
 }
 
 // endLeases gives up repeatable runs that no entry reads any more, and runs at
@@ -440,7 +443,7 @@
 func (s *scheduler) endLeases(now time.Time) {
 	s.runs.Range(func(_, value any) bool {
 		r := value.(*run)
-		if !r.life.Final() && r.unread(now) > readLease {
+		if !r.life.Final() && s.abandoned(now, r) {
 			s.giveUp(now, r)
 		}
 		if s.running[r.args.ID] == r && r.silent(now) > backendSilence {
@@ -451,6 +454,16 @@
 	})
 }
 
+// abandoned reports whether nobody waits for a run any more. An entry that
+// lives may be held up by a caller that reads slowly.
+func (s *scheduler) abandoned(now time.Time, r *run) bool {
+	unread := r.unread(now)
+	if s.entries.silence(r.args.Entry, now) > readLease {
+		return unread > readLease
+	}
+	return unread > slowCallerLease
+}
+
 // forget drops answers that nobody will read again.
 func (s *scheduler) forget(now time.Time) {
 	kept := s.ended[:0]
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -128,3 +128,39 @@
 		text.WriteString(part.Choices[0].Delta.Content)
 	}
 }
+
+// TestSlowCallerHoldsUpNobody leaves a long stream unread while other requests
+// go over the same connection between entry and agent.
+func TestSlowCallerHoldsUpNobody(t *testing.T) {
+	long := strings.Repeat(chunk(strings.Repeat("x", 1000)), 16<<10)
+	s := &server{answer: func(_ int, call platform.Call) (*platform.Reply, error) {
+		if strings.Contains(string(call.Body), "long") {
+			return body(long + done), nil
+		}
+		return body(events(0, 3) + done), nil
+	}}
+	url := benchDaemon(t, s)
+	send := func(body string) *http.Response {
+		request, _ := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+		request.Header.Set("Authorization", "Bearer "+testKey)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return response
+	}
+	slow := send(`{"model":"m","stream":true,"messages":["long"]}`)
+	defer slow.Body.Close()
+	for range 20 {
+		response := send(streamBody)
+		got, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		if err != nil || string(got) != events(0, 3)+done {
+			t.Fatalf("%v, got %q", err, got)
+		}
+	}
+	got, err := io.ReadAll(slow.Body)
+	if err != nil || string(got) != long+done || slow.Trailer.Get(outcome.HeaderOutcome) != string(outcome.Completed) {
+		t.Fatalf("the slow caller got %d bytes of %d, %v, %v", len(got), len(long+done), err, slow.Trailer)
+	}
+}
