Report how late requests were sent

Cause: on a busy machine the load itself may fall behind its plan. Change: the delay between planned and actual sending, as percentiles of a run. Ruled out: leaving late requests out, which would hide the machine's load.

--- a/load/caller.go
+++ b/load/caller.go
@@ -37,12 +37,14 @@
 // Result is what became of one planned request. Times count from the planned
 // arrival.
 type Result struct {
-	Class      int
-	Account    string
-	Planned    time.Duration
-	End        End
-	Reason     outcome.Reason
-	Attempts   int
+	Class    int
+	Account  string
+	Planned  time.Duration
+	End      End
+	Reason   outcome.Reason
+	Attempts int
+	// SentAfter is how late the first attempt was sent.
+	SentAfter  time.Duration
 	FirstToken time.Duration
 	LastToken  time.Duration
 	Whole      time.Duration
--- a/load/report.go
+++ b/load/report.go
@@ -19,8 +19,8 @@
 		class := &s.Classes[i]
 		fmt.Fprintf(&line, "%s %.1f%%, ", class.Name, 100*class.Attainment)
 	}
-	fmt.Fprintf(&line, "goodput %.1f/s, wasted %d of %d tokens, refusals %s",
-		s.Goodput, s.Wasted, s.Generated, reasons(s.Reasons))
+	fmt.Fprintf(&line, "goodput %.1f/s, wasted %d of %d tokens, refusals %s, sent late by %.1f ms (p99)",
+		s.Goodput, s.Wasted, s.Generated, reasons(s.Reasons), s.SendDelay.P99)
 	return line.String()
 }
 
--- a/load/run.go
+++ b/load/run.go
@@ -87,7 +87,9 @@
 	origin := start.Add(arrival.At)
 	class := &r.scenario.Classes[arrival.Class]
 	result := &r.results[index]
-	*result = Result{Class: arrival.Class, Account: arrival.Account, Planned: arrival.At}
+	*result = Result{
+		Class: arrival.Class, Account: arrival.Account, Planned: arrival.At, SentAfter: time.Since(origin),
+	}
 	patience := r.scenario.Patience
 	if arrival.HangUpAfter > 0 {
 		patience = min(patience, arrival.HangUpAfter)
--- a/load/summary.go
+++ b/load/summary.go
@@ -24,6 +24,9 @@
 	Delivered uint64         `json:"delivered_tokens"`
 	Wasted    uint64         `json:"wasted_tokens"`
 	Reasons   map[string]int `json:"refusals"`
+	// SendDelay is how late requests were sent. It tells whether the load was
+	// what the scenario says.
+	SendDelay Percentiles `json:"send_delay_ms"`
 	// Seconds is how long requests arrived.
 	Seconds float64 `json:"seconds"`
 }
@@ -99,11 +102,14 @@
 		attained += summary.Attained
 		tokens += class.attainedTokens
 	}
+	delays := newHistogram()
 	for i := range run.Results {
+		record(delays, run.Results[i].SentAfter)
 		if r := &run.Results[i]; r.End == EndRefused || r.End == EndBroken {
 			s.Reasons[string(r.Reason)]++
 		}
 	}
+	s.SendDelay = percentiles(delays)
 	s.Goodput = float64(attained) / seconds
 	s.GoodputTokens = float64(tokens) / seconds
 	s.Wasted = s.Generated - min(s.Generated, s.Delivered)
