Bound the calls of a fleet that starts beside a dead platform

A starting process asked for the configuration every 200 ms until it had one, and read the list of VMs every 1.5 s: 1,140 processes that start together while the platform is down would have made 5,700 and 760 calls a second, against 2,000 allowed. Both waits now double, to 4 s and to 10 s on average (about 285 and 114 calls a second). Worked out, not measured with that many processes.

--- a/membership/watcher.go
+++ b/membership/watcher.go
@@ -61,6 +61,9 @@
 // dutyPurpose names the election of the list's readers.
 const dutyPurpose = "VM list reader"
 
+// maxFailures bounds how often the wait after a failure is doubled.
+const maxFailures = 8
+
 // maxListBytes bounds a list fetched from a peer.
 const maxListBytes = 4 << 20
 
@@ -104,6 +107,9 @@
 	// readAttemptAt is when this process last read the platform; used by the
 	// duty alone.
 	readAttemptAt time.Time
+	// failures counts refreshes in a row that brought nothing, up to
+	// maxFailures; used by the duty alone.
+	failures int
 }
 
 // NewWatcher returns a watcher that has not begun.
@@ -133,15 +139,25 @@
 }
 
 // Refresh brings the table up to date once, from the platform or a peer, and
-// returns how long to wait before the next time.
+// returns how long to wait before the next time. The wait grows while nobody
+// answers, so that a fleet which starts beside a platform that is down does not
+// flood it.
 func (w *Watcher) Refresh(ctx context.Context) time.Duration {
 	if w.onDuty() && w.read(ctx) {
+		w.failures = 0
 		return w.jitter(w.readInterval())
 	}
-	if !w.pullAny(ctx) && w.fallbackDue() {
-		w.read(ctx)
+	answered := w.pullAny(ctx)
+	if w.fallbackDue() && w.read(ctx) {
+		answered = true
+	}
+	if answered {
+		w.failures = 0
+		return w.jitter(w.cfg.Timing.PullInterval)
 	}
-	return w.jitter(w.cfg.Timing.PullInterval)
+	wait := min(w.cfg.Timing.PullInterval<<w.failures, w.cfg.Timing.FallbackInterval)
+	w.failures = min(w.failures+1, maxFailures)
+	return w.jitter(wait)
 }
 
 // readInterval returns the mean time between two reads of the platform.
@@ -206,13 +222,12 @@
 	}
 }
 
-// pullAny asks a reader of the own data centre, and then any other process.
-// It reports whether the list in use is then fresh.
+// pullAny asks a reader of the own data centre, or else any other process. It
+// reports whether one of them answered.
 func (w *Watcher) pullAny(ctx context.Context) bool {
 	for _, vm := range w.candidates() {
 		if w.pull(ctx, vm.Address) {
-			age, ok := w.Age()
-			return ok && age < w.cfg.Timing.StaleAfter
+			return true
 		}
 	}
 	return false
--- a/membership/watcher_test.go
+++ b/membership/watcher_test.go
@@ -191,3 +191,23 @@
 		}
 	}
 }
+
+// TestStartBesideDeadPlatform has nobody to ask: no list yet, and a platform
+// that does not answer.
+func TestStartBesideDeadPlatform(t *testing.T) {
+	g := newGroup(t, fleet(1, 1))
+	g.platform.err = errors.New("down")
+	w := g.watchers[0]
+	for range 10 {
+		g.clock.Advance(w.Refresh(t.Context()))
+	}
+	timing := DefaultTiming()
+	if wait := w.Refresh(t.Context()); wait < timing.FallbackInterval/2 {
+		t.Fatalf("wait %v after many failures", wait)
+	}
+	g.platform.err = nil
+	g.clock.Advance(timing.FallbackInterval)
+	if wait := w.Refresh(t.Context()); wait > 2*timing.PullInterval || len(w.cfg.Table.VMs()) != 1 {
+		t.Fatalf("wait %v and %d VMs after the platform is back", wait, len(w.cfg.Table.VMs()))
+	}
+}
--- a/node/duties.go
+++ b/node/duties.go
@@ -15,9 +15,11 @@
 )
 
 const (
-	// startPause is the time between two tries to find a configuration at
-	// start.
-	startPause = 200 * time.Millisecond
+	// minStartPause and maxStartPause bound the mean time between two tries to
+	// find a configuration at start; it doubles, so that a whole fleet which
+	// starts beside a configuration service that is down does not flood it.
+	minStartPause = 200 * time.Millisecond
+	maxStartPause = 4 * time.Second
 	// startPatience is how long a starting process waits for the list of VMs
 	// and for a peer's answer before it takes the configuration service's word
 	// alone.
@@ -88,13 +90,15 @@
 // waits for peers before it believes the service alone.
 func (d *duties) start(ctx context.Context) error {
 	begun := d.clock.Now()
+	pause := minStartPause
 	for {
 		patient := d.clock.Now().Sub(begun) < startPatience
 		if d.confirmStart(ctx, patient) {
 			d.confirmed.Store(true)
 			return nil
 		}
-		timer := time.NewTimer(startPause)
+		timer := time.NewTimer(pause/2 + rand.N(pause))
+		pause = min(2*pause, maxStartPause)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
