--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -286,6 +286,26 @@
 	close(b.backend.release)
 }
 
+func TestClassRemovedWhileQueued(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("running", "lookup")
+	<-b.backend.entered
+	b.submit("queued", "urgent")
+	next := strings.NewReplacer("version: 7", "version: 8", "classes: [lookup, urgent]", "classes: [lookup]",
+		"  - {name: urgent, tier: 1, repeatability: idempotent, targets: {whole: 10s}}\n", "").Replace(testManifest)
+	if _, err := b.agent.deps.Configuration.Offer([]byte(next), configsync.SourceService); err != nil {
+		t.Fatal(err)
+	}
+	reply := b.read("queued", 0)
+	if reply.Refusal == nil || reply.Refusal.Outcome != outcome.NotRun || reply.Refusal.Reason != outcome.ReasonStaleConfig {
+		t.Fatalf("refusal %v", reply.Refusal)
+	}
+	close(b.backend.release)
+	if reply := b.read("running", 0); !reply.Final || reply.Refusal != nil || b.runs("queued") != 0 {
+		t.Fatalf("running: %+v, runs of the queued one: %d", reply, b.runs("queued"))
+	}
+}
+
 func TestStaleClassIsRefused(t *testing.T) {
 	b := newBench(t, 1)
 	var reply agentapi.SubmitReply
--- a/history/history.go
+++ b/history/history.go
@@ -30,6 +30,7 @@
 	Leaving          Promise = "leaving"
 	GracefulShutdown Promise = "graceful shutdown"
 	Floor            Promise = "floor of service"
+	SlotsFreed       Promise = "slots freed"
 )
 
 // Violation is a promise that a history breaks.
--- a/prove/judge.go
+++ b/prove/judge.go
@@ -36,6 +36,7 @@
 	found := history.CheckRequests(judged)
 	found = append(found, history.CheckVersions(h)...)
 	found = append(found, c.checkDepartures(h, started, faults)...)
+	found = append(found, c.checkIdle(faults)...)
 	result.Violations = append(result.Violations, found...)
 	return nil
 }
--- a/prove/seed.go
+++ b/prove/seed.go
@@ -18,6 +18,9 @@
 	// serviceRecovery bounds the wait until the first process accepts a version
 	// after the configuration service was at fault.
 	serviceRecovery = 30 * time.Second
+	// idleWithin bounds the time until all slots are free once callers are
+	// gone. It is above the lease of a run that nobody reads.
+	idleWithin = 15 * time.Second
 	// lateRepeats bounds the keys that are used again at the end.
 	lateRepeats = 200
 	// lateAtOnce bounds the late repeats under way.
@@ -139,6 +142,37 @@
 	return nil
 }
 
+// checkIdle checks that no slot of an agent stays taken when all callers are
+// gone. A backend server that hangs keeps slots for longer, so that runs with
+// such a failure are not judged.
+func (c *cluster) checkIdle(faults []fault) []history.Violation {
+	for _, f := range faults {
+		if f.hangs {
+			return nil
+		}
+	}
+	if c.await(idleWithin, func() bool { return len(c.busyAgents()) == 0 }) == nil {
+		return nil
+	}
+	return []history.Violation{{
+		Promise: history.SlotsFreed,
+		Subject: fmt.Sprint(c.busyAgents()),
+		Detail:  "requests are queued or running " + idleWithin.String() + " after the last caller went",
+	}}
+}
+
+// busyAgents names the agents that have requests queued or running.
+func (c *cluster) busyAgents() []string {
+	var names []string
+	for _, m := range c.agents {
+		status, err := c.statusOf(m)
+		if err != nil || status.Load.Running+status.Load.Queued > 0 {
+			names = append(names, m.name)
+		}
+	}
+	return names
+}
+
 // atLeast counts the members that have the version in force, or a later one.
 func (c *cluster) atLeast(version uint64) int {
 	n := 0
