--- a/entry/handler.go
+++ b/entry/handler.go
@@ -214,7 +214,7 @@
 		e.refuse(ctx, req.id, refusal)
 		return
 	}
-	e.deps.Timeline.Record(timeline.RequestReceived, req.id, req.class.Name)
+	e.deps.Timeline.RecordWith(timeline.RequestReceived, req.id, "", timeline.Attributes{Class: req.class.Name, Account: req.account.Name})
 	e.answer(ctx, req)
 }
 
@@ -282,24 +282,35 @@
 	return nil
 }
 
-// answer serves a request that was accepted at the entry.
+// answer serves a request that was accepted at the entry. A stream goes on
+// after this returns when its connection could be taken over.
 func (e *Entry) answer(ctx iris.Context, req *request) {
-	var out finalSink
-	if req.args.Stream {
-		out = newStreamSink(ctx.ResponseWriter(), req.id)
-	} else {
-		out = newBufferSink(ctx.ResponseWriter(), req.id)
-	}
 	e.budget.SetShare(req.retryShare)
 	e.budget.Request(e.deps.Clock.Now())
-	refusal := e.serve(ctx.Request().Context(), req, out)
+	if !req.args.Stream {
+		e.finish(ctx.Request().Context(), req, newBufferSink(ctx.ResponseWriter(), req.id))
+		return
+	}
+	if conn, ok := detach(ctx.ResponseWriter(), ctx.Request()); ok {
+		e.streams.Add(1)
+		go e.serveDetached(conn, req)
+		return
+	}
+	e.finish(ctx.Request().Context(), req, newStreamSink(ctx.ResponseWriter(), req.id))
+}
+
+// finish serves a request and gives the final word on it.
+func (e *Entry) finish(ctx context.Context, req *request, out finalSink) {
+	refusal := e.serve(ctx, req, out)
 	out.end(refusal)
 	e.meters.answered(req, refusal, e.since(req.received))
 	if refusal == nil {
-		e.deps.Timeline.Record(timeline.AnswerCompleted, req.id, "")
+		e.deps.Timeline.RecordWith(timeline.AnswerCompleted, req.id, "", timeline.Attributes{Outcome: string(outcome.Completed)})
 		return
 	}
-	e.deps.Timeline.Record(timeline.AnswerFailed, req.id, string(refusal.Outcome)+" "+string(refusal.Reason))
+	e.deps.Timeline.RecordWith(timeline.AnswerFailed, req.id, refusal.Detail, timeline.Attributes{
+		Outcome: string(refusal.Outcome), Reason: string(refusal.Reason),
+	})
 }
 
 func (e *Entry) serve(ctx context.Context, req *request, out sink) *outcome.Refusal {
@@ -312,7 +323,9 @@
 // refuse answers a request that got no further than the entry.
 func (e *Entry) refuse(ctx iris.Context, id string, refusal *outcome.Refusal) {
 	e.meters.refused("", refusal.Reason)
-	e.deps.Timeline.Record(timeline.RequestRefused, id, string(refusal.Reason))
+	e.deps.Timeline.RecordWith(timeline.RequestRefused, id, refusal.Detail, timeline.Attributes{
+		Outcome: string(refusal.Outcome), Reason: string(refusal.Reason),
+	})
 	writeProblem(ctx.ResponseWriter(), id, refusal)
 }
 
