Keep a margin of the target, and affinity to agents with room

Cause: top-tier answers of an experiment missed their target by some milliseconds, since the start was allowed up to the last moment; and every prompt has a prefix, so that the preferred agent was taken although it had no free slot and others had.

What changed: 5% of the target is kept for the way back. The preferred agent of a prefix counts 0.85 instead of 0.7, and only while it seems to have a free slot.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -50,6 +50,8 @@
 	// maxLeadPercent bounds the part of a target that slowQuantile takes, so
 	// that a slow backend server is not left without any requests.
 	maxLeadPercent = 75
+	// startMarginPercent is the part of a target kept for the way back.
+	startMarginPercent = 5
 	// keyFutureSkew is how far ahead of this VM's clock a key may be minted.
 	keyFutureSkew = 30 * time.Second
 )
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -236,7 +236,8 @@
 	}
 	if r.args.TargetLeft > 0 && s.deadlines() {
 		lead := min(s.leadTime(r, class), r.args.TargetLeft*maxLeadPercent/100)
-		q.StartBy = now.Add(r.args.TargetLeft - lead)
+		margin := r.args.TargetLeft * startMarginPercent / 100
+		q.StartBy = now.Add(r.args.TargetLeft - lead - margin)
 	}
 	return q
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// affinityFactor is how much less the preferred agent of a prefix counts,
-	// for the prompt tokens that it has cached.
-	affinityFactor = 0.7
+	// affinityFactor is how much less the preferred agent of a prefix counts
+	// while it has a free slot, for the prompt tokens that it has cached.
+	affinityFactor = 0.85
 	// maxAffinity is the most candidates among which a prefix has a preferred
 	// agent; subsets are smaller.
 	maxAffinity = 64
@@ -115,7 +115,7 @@
 func (r *Router) best(now time.Time, req *Request, candidates []Candidate) int {
 	picked := choice{index: -1}
 	expected := r.expectedWhole(req.Class, req.Model)
-	if at := preferred(req, candidates); at >= 0 {
+	if at := preferred(req, candidates); at >= 0 && hasRoom(&candidates[at]) {
 		r.weigh(now, req, candidates, at, expected, &picked)
 		picked.cost = time.Duration(affinityFactor * float64(picked.cost))
 	}
@@ -131,6 +131,11 @@
 	return picked.index
 }
 
+// hasRoom reports whether the candidate seems to have a free slot.
+func hasRoom(c *Candidate) bool {
+	return max(c.Running+c.Queued, c.Outstanding) < max(1, c.Slots)
+}
+
 // weighAll weighs all candidates, from a random one on.
 func (r *Router) weighAll(now time.Time, req *Request, candidates []Candidate, expected time.Duration, picked *choice) {
 	at := r.rng.IntN(len(candidates))
