--- a/prove/caller.go
+++ b/prove/caller.go
@@ -33,6 +33,9 @@
 	copyDelay = 700 * time.Millisecond
 	maxPause  = 120 * time.Millisecond
 	maxTokens = 300
+	// maxLongTokens bounds the answers of one in longEvery streams.
+	maxLongTokens = 1500
+	longEvery     = 8
 )
 
 // payment is a request with a key, which may be sent several times.
@@ -46,10 +49,11 @@
 
 // caller sends requests through all entries and records what it saw.
 type caller struct {
-	c      *cluster
-	client *http.Client
-	name   string
-	sent   int
+	c       *cluster
+	client  *http.Client
+	entries []*member
+	name    string
+	sent    int
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -59,10 +63,11 @@
 
 func newCaller(c *cluster, seed uint64, number int) *caller {
 	return &caller{
-		c:      c,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
-		name:   fmt.Sprintf("caller-%d", number),
-		rng:    rand.New(rand.NewPCG(seed, uint64(number)+1)),
+		c:       c,
+		entries: c.entries,
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		name:    fmt.Sprintf("caller-%d", number),
+		rng:     rand.New(rand.NewPCG(seed, uint64(number)+1)),
 	}
 }
 
@@ -72,7 +77,14 @@
 	return k.rng.IntN(n)
 }
 
-func (k *caller) anyEntry() *member { return k.c.entries[k.draw(len(k.c.entries))] }
+func (k *caller) drawTokens() int {
+	if k.draw(longEvery) == 0 {
+		return 1 + k.draw(maxLongTokens)
+	}
+	return 1 + k.draw(maxTokens)
+}
+
+func (k *caller) anyEntry() *member { return k.entries[k.draw(len(k.entries))] }
 
 // run sends requests until the deadline.
 func (k *caller) run(until time.Duration) {
@@ -85,7 +97,7 @@
 		case choice < 8:
 			k.chat()
 		default:
-			k.lookup()
+			k.lookup(k.mark())
 		}
 		time.Sleep(time.Duration(k.draw(int(maxPause))))
 	}
@@ -98,7 +110,7 @@
 
 // pay mints a key and uses it in one of the ways that callers do.
 func (k *caller) pay(class string) {
-	p := payment{class: class, mark: k.mark(), account: accountKey, tokens: 1 + k.draw(maxTokens)}
+	p := payment{class: class, mark: k.mark(), account: accountKey, tokens: k.drawTokens()}
 	var err error
 	if p.key, err = k.mint(class); err != nil {
 		return
@@ -200,14 +212,14 @@
 // chat streams an answer that may be repeated.
 func (k *caller) chat() {
 	call := history.Call{}
-	k.stream(&call, payment{class: classChat, mark: k.mark(), account: accountKey, tokens: 1 + k.draw(maxTokens)}, callPatience)
+	k.stream(&call, payment{class: classChat, mark: k.mark(), account: accountKey, tokens: k.drawTokens()}, callPatience)
 	k.c.recorder.Call(call)
 }
 
 // lookup calls the service for something that may be repeated.
-func (k *caller) lookup() {
+func (k *caller) lookup(mark string) {
 	call := history.Call{}
-	p := payment{class: classLookup, mark: k.mark(), account: accountKey}
+	p := payment{class: classLookup, mark: mark, account: accountKey}
 	k.callService(&call, p, "/seats/"+p.mark, callPatience)
 	k.c.recorder.Call(call)
 }
