Let a request of the top tier go on to another agent before its target

Cause: with few slots an agent may free none for the whole of a target while others do. A request of the top tier that found all agents busy used up its refusals at once, or waited at one agent to the end; in a trial of routers and queues in one process (six agents, four slots) it missed its target while other agents had free slots.

What changed: a repeatable request of the top tier waits at one agent for a fifth of what is left of its target (SubmitArgs.QueueFor), and after three refusals pauses for a quarter of it, 40 ms at most, and asks again, 24 times in all. A refusal no longer keeps requests from an agent that reported a free slot since.

--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -237,7 +237,11 @@
 	if r.args.TargetLeft > 0 && s.deadlines() {
 		lead := min(s.leadTime(r, class), r.args.TargetLeft*maxLeadPercent/100)
 		margin := r.args.TargetLeft * startMarginPercent / 100
-		q.StartBy = now.Add(r.args.TargetLeft - lead - margin)
+		wait := r.args.TargetLeft - lead - margin
+		if r.args.QueueFor > 0 {
+			wait = min(wait, r.args.QueueFor)
+		}
+		q.StartBy = now.Add(wait)
 	}
 	return q
 }
--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -102,6 +102,10 @@
 	// TargetLeft is what is left of the class's latency target when the
 	// request arrives at the agent; zero is no target.
 	TargetLeft time.Duration
+	// QueueFor is how long the request may wait in the agent's queue before
+	// the entry would rather ask another agent. Zero is as long as the target
+	// allows.
+	QueueFor time.Duration
 	// Read, with Wait above zero, asks for the first part of the answer in the
 	// reply, as a call of Read from offset 0 would.
 	Read ReadArgs
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -36,7 +36,7 @@
 	refusals, attempts := 0, 0
 	req.route.Excluded = map[string]bool{}
 	for refusals < req.refusals() && attempts < maxAttempts {
-		chosen, ok := e.agents.pick(&req.route)
+		chosen, ok := e.pick(ctx, req)
 		if !ok {
 			break
 		}
@@ -60,6 +60,37 @@
 	return conclude(last, mayHaveRun)
 }
 
+const (
+	// roundSize is how many agents refuse a request of the top tier before it
+	// pauses and asks again, those that refused included.
+	roundSize = 3
+	// roundShare is the part of what is left of the target that it pauses.
+	roundShare = 4
+	// maxRoundPause bounds the pause.
+	maxRoundPause = 40 * time.Millisecond
+)
+
+// pick chooses an agent that the request was not at yet. A request of the top
+// tier with time left starts another round when several agents refused it.
+func (e *Entry) pick(ctx context.Context, req *request) (target, bool) {
+	excluded := len(req.route.Excluded)
+	if excluded < roundSize {
+		if chosen, ok := e.agents.pick(&req.route); ok || excluded == 0 {
+			return chosen, ok
+		}
+	}
+	left := req.targetLeft(e.deps.Clock.Now())
+	if req.queueFor(left) == 0 {
+		return e.agents.pick(&req.route)
+	}
+	if left < minQueueFor {
+		return target{}, false
+	}
+	pause(ctx, min(left/roundShare, maxRoundPause))
+	clear(req.route.Excluded)
+	return e.agents.pick(&req.route)
+}
+
 // worse keeps the refusal that says more: one that may have run goes before
 // one that did not, and of two the shorter time to come back.
 func worse(last, next *outcome.Refusal) *outcome.Refusal {
@@ -103,6 +134,7 @@
 	}
 	args.Incarnation = chosen.incarnation
 	args.TargetLeft = req.targetLeft(sent)
+	args.QueueFor = req.queueFor(args.TargetLeft)
 	e.deps.Timeline.RecordWith(timeline.AttemptSent, req.id, "", timeline.Attributes{Peer: chosen.vm.Name})
 	d := &delivery{entry: e, req: req, chosen: chosen, id: args.ID, got: got, out: out, sent: sent}
 	e.agents.observe(chosen, d.seen(routing.KindSent))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,8 +60,8 @@
 	maxAttempts = 3
 	// maxRefusals bounds the agents asked after one another for room.
 	maxRefusals = 3
-	// maxTopTierRefusals is maxRefusals for the top tier.
-	maxTopTierRefusals = 6
+	// maxTopTierRefusals is maxRefusals for the top tier, over all rounds.
+	maxTopTierRefusals = 24
 	// maxBufferedAnswer bounds an answer that is given in one piece.
 	maxBufferedAnswer = 16 << 20
 	// minRetriesPerSecond is the retry budget of an entry with little traffic.
--- a/entry/request.go
+++ b/entry/request.go
@@ -50,6 +50,24 @@
 	return max(time.Millisecond, target-now.Sub(r.received))
 }
 
+const (
+	// queueShare is the part of what is left of its target that a request of
+	// the top tier waits at one agent before another one is asked.
+	queueShare = 5
+	// minQueueFor is the least time worth waiting at one agent.
+	minQueueFor = 60 * time.Millisecond
+)
+
+// queueFor is how long a request may wait at one agent. A request of the top
+// tier goes on to another one soon: of several agents, one has a free slot
+// long before a given one has.
+func (r *request) queueFor(left time.Duration) time.Duration {
+	if r.class.Tier != manifest.TopTier || left == 0 {
+		return 0
+	}
+	return max(minQueueFor, left/queueShare)
+}
+
 // patience is how long an attempt may go without the first byte of its
 // answer before the agent is taken for stuck.
 func (r *request) patience() time.Duration {
--- a/routing/agent.go
+++ b/routing/agent.go
@@ -53,6 +53,7 @@
 	reportedAt  time.Time
 	// refusedUntil holds for refusedTier and the tiers below.
 	refusedUntil time.Time
+	refusedAt    time.Time
 	refusedTier  int
 	usedAt       time.Time
 }
@@ -65,7 +66,7 @@
 	if a != nil {
 		slowness = a.slownessNow(now)
 		own = a.ownThen(c)
-		extra = a.silence(now, r.expectedFirst(req.Class, req.Model)) + a.refused(now, req.Tier)
+		extra = a.silence(now, r.expectedFirst(req.Class, req.Model)) + a.refused(now, req.Tier, c)
 	}
 	if c.DataCentre != r.cfg.DataCentre {
 		extra += remotePenalty
@@ -132,9 +133,10 @@
 	return silenceFactor * silent
 }
 
-// refused returns how long the agent asked requests of the tier to stay away.
-func (a *agent) refused(now time.Time, tier int) time.Duration {
-	if tier < a.refusedTier {
+// refused returns how long the agent asked requests of the tier to stay away,
+// unless it has reported a free slot since.
+func (a *agent) refused(now time.Time, tier int, c *Candidate) time.Duration {
+	if tier < a.refusedTier || c.ReportedAt.After(a.refusedAt) && hasRoom(c) {
 		return 0
 	}
 	return max(0, a.refusedUntil.Sub(now))
@@ -178,6 +180,7 @@
 	case KindRefused:
 		a.ended(now, o)
 		a.refusedUntil = now.Add(min(o.Wait, maxRefusedFor))
+		a.refusedAt = now
 		a.refusedTier = o.Tier
 	case KindCancelled:
 		r.cancelled(now, a, o)
