Show the counts of configuration and membership in the metrics

Calls to the configuration service and to the list of VMs, transfers, conflicts, lists held back, the list's age and the bytes exchanged with peers were counted but could not be seen. A duty copies them to the metrics each second.

--- a/node/run.go
+++ b/node/run.go
@@ -64,6 +64,10 @@
 	group.Go(func() error { return closed(server.Serve(admin)) })
 	group.Go(func() error { return closed(n.PeerServer.Serve(peers)) })
 	group.Go(func() error { return n.duties.run(ctx) })
+	group.Go(func() error {
+		n.showCounts(ctx)
+		return nil
+	})
 	group.Go(func() error { return role.Run(ctx) })
 	group.Go(func() error {
 		defer cancel()
