Refuse YAML manifests without their end; ask quiet agents each 1.5 s

Cause: (1) a YAML manifest cut between two entries of its last list was well formed and valid, with fewer accounts; the whole document then had the same version and was refused as a conflict. (2) An entry with 24 idle agents spent 6.1 KB/s on control, over the 5 KB/s allowed.

Now a YAML manifest ends with a line of three dots, and an agent is asked for its status after 1.5 s without a word from it instead of 1 s.

Ruled out: JSON only; people write the manifests of small deployments by hand.

The test that cuts a document behind each line failed for the cuts in the last list before.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -32,6 +32,7 @@
   - {service: booking, methods: [GET], classes: [lookup, urgent]}
   - {service: booking, methods: [POST], classes: [payment]}
 limits: {queue_per_agent: 4}
+...
 `
 
 // backend answers a call when the test releases it.
--- a/configsync/store_test.go
+++ b/configsync/store_test.go
@@ -27,6 +27,7 @@
   - {model: small, classes: [lookup]}
 accounts:
   - {name: school, key_hashes: [%x]}
+...
 `, version, name, sha256.Sum256([]byte("key")))
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,7 +32,7 @@
 // Times and bounds of an entry.
 const (
 	// heartbeatInterval is how long an agent may be unheard before it is asked.
-	heartbeatInterval = time.Second
+	heartbeatInterval = 1500 * time.Millisecond
 	// heartbeatTimeout bounds one heartbeat.
 	heartbeatTimeout = time.Second
 	// cancelTimeout bounds the message that a run is given up.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -57,6 +57,7 @@
   - {service: booking, methods: [POST], path_prefix: /payments, classes: [payment]}
   - {service: booking, methods: [GET], classes: [lookup]}
 limits: {max_body_bytes: 4096, max_json_depth: 8}
+...
 `, hash(testKey), limits, hash(otherKey))
 }
 
--- a/load/cluster.go
+++ b/load/cluster.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
@@ -50,7 +49,7 @@
 			Weight:    account.Weight,
 		})
 	}
-	return yaml.Marshal(m)
+	return json.Marshal(m)
 }
 
 // cluster is a deployment under load.
--- a/manifest/parse.go
+++ b/manifest/parse.go
@@ -1,6 +1,7 @@
 package manifest
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"reflect"
@@ -59,6 +60,9 @@
 		r.add("", "must be at most %d bytes, not %d", MaxDocumentBytes, len(document))
 		return nil
 	}
+	if !ended(document) {
+		r.add("", "must end with a line of three dots, as YAML documents do: without it a document that was cut short could pass")
+	}
 	tokens := lexer.Tokenize(string(document))
 	if !checkTokens(r, tokens) {
 		return nil
@@ -75,6 +79,16 @@
 	return file.Docs[0].Body
 }
 
+// ended reports whether a document has its end. JSON shows it by its last
+// brace; a YAML document that lost its last lines can still be well formed.
+func ended(document []byte) bool {
+	document = bytes.TrimSpace(document)
+	if bytes.HasPrefix(document, []byte("{")) {
+		return true
+	}
+	return bytes.HasSuffix(document, []byte("\n..."))
+}
+
 // syntaxMessage words an error of the YAML library in one line.
 func syntaxMessage(err error) string {
 	var syntax yaml.Error
--- a/manifest/parse_test.go
+++ b/manifest/parse_test.go
@@ -33,6 +33,7 @@
   - {model: small, classes: [chat]}
   - {service: booking, methods: [POST], path_prefix: /payments, classes: [pay]}
 limits: {key_validity: 5m}
+...
 `
 
 func TestParseReadsTheDocument(t *testing.T) {
@@ -224,3 +225,14 @@
 		}
 	}
 }
+
+// TestParseRefusesADocumentCutAnywhere cuts a document behind each of its
+// lines: a part of it is never taken for the whole.
+func TestParseRefusesADocumentCutAnywhere(t *testing.T) {
+	lines := strings.SplitAfter(valid, "\n")
+	for n := range len(lines) - 2 {
+		if _, err := Parse([]byte(strings.Join(lines[:n+1], ""))); err == nil {
+			t.Errorf("%d of %d lines were accepted", n+1, len(lines)-1)
+		}
+	}
+}
--- a/prove/manifest.go
+++ b/prove/manifest.go
@@ -44,6 +44,7 @@
   - {service: booking, path_prefix: /payments, classes: [payment]}
   - {service: booking, classes: [lookup]}
 limits: {keys_per_agent: %d, key_validity: %s}
+...
 `
 
 // keyLimits are the limits of the agents' tables of keys.
--- a/slopes/manifest.go
+++ b/slopes/manifest.go
@@ -42,6 +42,7 @@
 		}
 		b.WriteString("}\n")
 	}
+	b.WriteString("...\n")
 	return b.Bytes()
 }
 
