--- a/cmd/sesame-agent/main.go
+++ b/cmd/sesame-agent/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"fmt"
 	"net"
 	"os"
 	"time"
@@ -18,6 +17,12 @@
 	"github.com/sesameswitch/sesameswitch/settings"
 )
 
+// Kinds of backend servers.
+const (
+	kindEngine  = "engine"
+	kindService = "service"
+)
+
 // flags are the settings of an agent.
 type flags struct {
 	node.Settings
@@ -30,17 +35,19 @@
 	Policy      string   `default:"sesame" validate:"oneof=sesame round-robin least" help:"Order of service; round-robin and least are baselines for experiments."`
 }
 
-func main() {
-	var f flags
-	program := settings.Program{Name: "sesame-agent", Description: "The process beside a backend server."}
-	proceed, code := settings.Load(&f, program, os.Args[1:], os.Stdout, os.Stderr)
-	if !proceed {
-		os.Exit(code)
+// Validate checks that the kind of backend server fits what it serves.
+func (f *flags) Validate() error {
+	if f.BackendKind == kindEngine && len(f.Models) == 0 {
+		return eris.New("--models is needed for an engine")
 	}
-	if err := run(&f); err != nil {
-		fmt.Fprintln(os.Stderr, eris.ToString(err, false))
-		os.Exit(settings.ExitFailure)
+	if f.BackendKind == kindService && len(f.Services) == 0 {
+		return eris.New("--services is needed for a service")
 	}
+	return nil
+}
+
+func main() {
+	settings.Main(settings.Program{Name: "sesame-agent", Description: "The process beside a backend server."}, run)
 }
 
 func run(f *flags) error {
--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -27,16 +27,7 @@
 }
 
 func main() {
-	var f flags
-	program := settings.Program{Name: "sesame-entry", Description: "The process that callers talk to."}
-	proceed, code := settings.Load(&f, program, os.Args[1:], os.Stdout, os.Stderr)
-	if !proceed {
-		os.Exit(code)
-	}
-	if err := run(&f); err != nil {
-		fmt.Fprintln(os.Stderr, eris.ToString(err, false))
-		os.Exit(settings.ExitFailure)
-	}
+	settings.Main(settings.Program{Name: "sesame-entry", Description: "The process that callers talk to."}, run)
 }
 
 func run(f *flags) error {
--- a/cmd/sesame-slopes/main.go
+++ b/cmd/sesame-slopes/main.go
@@ -4,11 +4,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"os"
 
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/sesameswitch/sesameswitch/settings"
@@ -27,20 +25,11 @@
 }
 
 func main() {
-	var f flags
-	program := settings.Program{Name: "sesame-slopes", Description: "Measures how coordination grows."}
-	proceed, code := settings.Load(&f, program, os.Args[1:], os.Stdout, os.Stderr)
-	if !proceed {
-		os.Exit(code)
-	}
-	logrus.SetOutput(io.Discard)
-	if err := run(&f); err != nil {
-		fmt.Fprintln(os.Stderr, eris.ToString(err, false))
-		os.Exit(settings.ExitFailure)
-	}
+	settings.Main(settings.Program{Name: "sesame-slopes", Description: "Measures how coordination grows."}, run)
 }
 
 func run(f *flags) error {
+	logrus.SetOutput(io.Discard)
 	report, err := slopes.Measure(slopes.Sizes{
 		Processes: f.Processes, Graphs: f.Graphs, Agents: f.Agents, Accounts: f.Accounts, Keys: f.Keys, FleetAccounts: f.FleetAccounts,
 	}, os.Stderr)
--- a/configsync/syncer.go
+++ b/configsync/syncer.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sesameswitch/sesameswitch/clock"
+
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesameswitch/sesameswitch/configsync/delta"
@@ -279,7 +281,7 @@
 
 // repairDuty asks one neighbour after another for its version.
 func (s *Syncer) repairDuty(ctx context.Context) {
-	for sleep(ctx, s.jitter(s.cfg.Timing.RepairInterval)) {
+	for clock.Sleep(ctx, s.jitter(s.cfg.Timing.RepairInterval)) {
 		s.repair(ctx)
 	}
 }
@@ -381,15 +383,3 @@
 func jitter(rng *rand.Rand, d time.Duration) time.Duration {
 	return d/2 + time.Duration(rng.Int64N(int64(d)+1))
 }
-
-// sleep waits for d; it returns false when the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/configsync/watch.go
+++ b/configsync/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sesameswitch/sesameswitch/clock"
+
 	"github.com/sesameswitch/sesameswitch/membership"
 	"github.com/sesameswitch/sesameswitch/platform"
 )
@@ -35,7 +37,7 @@
 		} else {
 			s.watch = watchState{pause: s.cfg.Timing.MinPause}
 		}
-		if !sleep(ctx, s.jitter(wait)) {
+		if !clock.Sleep(ctx, s.jitter(wait)) {
 			return
 		}
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sesameswitch/sesameswitch/clock"
+
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/peer"
@@ -86,7 +88,7 @@
 	if left < minQueueFor {
 		return target{}, false
 	}
-	pause(ctx, min(left/roundShare, maxRoundPause))
+	clock.Sleep(ctx, min(left/roundShare, maxRoundPause))
 	clear(req.route.Excluded)
 	return e.agents.pick(&req.route)
 }
--- a/entry/delivery.go
+++ b/entry/delivery.go
@@ -6,6 +6,8 @@
 	"errors"
 	"time"
 
+	"github.com/sesameswitch/sesameswitch/clock"
+
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/peer"
@@ -39,6 +41,9 @@
 func (d *delivery) run(ctx context.Context, reply *agentapi.ReadReply) *outcome.Refusal {
 	d.movedAt = d.entry.deps.Clock.Now()
 	var lostAt time.Time
+	if reply == nil {
+		lostAt = d.movedAt
+	}
 	for {
 		if reply != nil {
 			lostAt = time.Time{}
@@ -61,7 +66,7 @@
 		if now.Sub(lostAt) > d.reconnectWindow() {
 			return outcome.Doubt(outcome.ReasonConnection, "the agent that has the answer cannot be reached")
 		}
-		pause(ctx, reconnectPause)
+		clock.Sleep(ctx, reconnectPause)
 	}
 }
 
@@ -233,13 +238,3 @@
 	}
 	return outcome.Doubt(outcome.ReasonConnection, "the connection to the agent was lost")
 }
-
-// pause waits for a duration or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sesameswitch/sesameswitch/clock"
+
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/routing"
@@ -60,6 +62,6 @@
 		if ctx.Err() != nil || e.since(began) > reconnectWindow {
 			return nil, outcome.Doubt(refusal.Reason, refusal.Detail).After(refusal.RetryAfter)
 		}
-		pause(ctx, reconnectPause)
+		clock.Sleep(ctx, reconnectPause)
 	}
 }
--- a/entry/meters.go
+++ b/entry/meters.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -41,9 +40,8 @@
 	m.metrics.Histogram("sesame_entry_answer_seconds", "class", req.class.Name).Update(int64(took))
 }
 
-// limiter guards the account limits for concurrent use.
+// limiter applies the account limits.
 type limiter struct {
-	mu    sync.Mutex
 	limit *limit.Limiter
 }
 
@@ -56,7 +54,5 @@
 	if account.RequestsPerSecond == 0 {
 		return true, 0
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	return l.limit.Allow(now, account.Name, "", account.RequestsPerSecond, account.Burst, max(1, entries))
 }
--- a/membership/watcher.go
+++ b/membership/watcher.go
@@ -132,7 +132,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	for {
 		wait := w.Refresh(ctx)
-		if !sleep(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			return
 		}
 	}
@@ -259,15 +259,3 @@
 func (w *Watcher) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(w.cfg.Rand.Int64N(int64(d)+1))
 }
-
-// sleep waits for d; it returns false when the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 
 	"github.com/alecthomas/kong"
@@ -95,6 +96,21 @@
 	return true, ExitOK
 }
 
+// Main is the main function of a program with settings and no subcommands: it
+// loads the settings, runs the program and ends the process with its exit
+// code. An error of run is printed with its causes.
+func Main[T any](program Program, run func(*T) error) {
+	var target T
+	proceed, code := Load(&target, program, os.Args[1:], os.Stdout, os.Stderr)
+	if !proceed {
+		os.Exit(code)
+	}
+	if err := run(&target); err != nil {
+		fmt.Fprintln(os.Stderr, eris.ToString(err, false))
+		os.Exit(ExitFailure)
+	}
+}
+
 // collector gathers every fault instead of stopping at the first.
 type collector struct {
 	messages []string
