Let a stream that broke wait for a slot past its target

Cause: a stream whose agent or engine died went on at another agent with what was left of its latency target, which was nothing once its first token was out.

A broken stream now may wait 8 s for a slot elsewhere and is not passed on after a fifth of its target as requests of the top tier are.

Ruled out: no bound at all; its caller waits in the middle of an answer.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -148,6 +148,7 @@
 		go e.cancel(chosen, &args, refusal.Reason)
 	}
 	e.agents.done(chosen, d.observation(refusal))
+	req.resuming = args.Stream && got.begun
 	return refusal
 }
 
--- a/entry/delivery.go
+++ b/entry/delivery.go
@@ -93,7 +93,7 @@
 	if d.req.keyed() {
 		return keyedPatience
 	}
-	if d.offset > 0 {
+	if d.offset > 0 || d.got.begun {
 		return stallTimeout
 	}
 	return d.req.patience()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,6 +51,8 @@
 	failoverWindow = 300 * time.Millisecond
 	// reconnectPause is the time between two such tries.
 	reconnectPause = 100 * time.Millisecond
+	// resumeWithin is how long a stream that broke may wait to go on.
+	resumeWithin = 8 * time.Second
 	// stallTimeout gives up an attempt whose answer stops in the middle.
 	stallTimeout = 10 * time.Second
 	// wholePatience is how long an answer in one piece may take when its class
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -22,6 +23,7 @@
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/configsync"
+	"github.com/sesameswitch/sesameswitch/manifest"
 	"github.com/sesameswitch/sesameswitch/membership"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/peer"
@@ -275,6 +277,19 @@
 	}
 }
 
+func TestBrokenStreamMayWaitPastItsTarget(t *testing.T) {
+	class := &manifest.Class{Tier: manifest.TopTier, Targets: manifest.Targets{FirstToken: time.Second}}
+	r := &request{class: class, received: time.Unix(100, 0), args: agentapi.SubmitArgs{Stream: true}}
+	late := time.Unix(110, 0)
+	if left := r.targetLeft(late); left != time.Millisecond || r.queueFor(left) == 0 {
+		t.Fatalf("before its first token: %v left", left)
+	}
+	r.resuming = true
+	if left := r.targetLeft(late); left != resumeWithin || r.queueFor(left) != 0 {
+		t.Fatalf("after its first token: %v left", left)
+	}
+}
+
 func TestBrokenStreamEndsInAnErrorEvent(t *testing.T) {
 	breaks := &server{answer: func(int, platform.Call) (*platform.Reply, error) { return body(events(0, 3)), nil }}
 	b := newBench(t, manifestText(""), breaks)
--- a/entry/request.go
+++ b/entry/request.go
@@ -21,6 +21,8 @@
 	keyText string
 	args    agentapi.SubmitArgs
 	route   routing.Request
+	// resuming is true once the caller has a part of a stream that broke.
+	resuming bool
 	// retryShare is the share of requests that may be retries.
 	retryShare float64
 	// refuse is why the entry would refuse a request with a key; the agent
@@ -41,8 +43,12 @@
 	return r.class.Targets.Whole
 }
 
-// targetLeft is what is left of the target at a moment.
+// targetLeft is what is left of the target at a moment. A stream that broke
+// has met or missed its target already; it may wait to go on.
 func (r *request) targetLeft(now time.Time) time.Duration {
+	if r.resuming {
+		return resumeWithin
+	}
 	target := r.target()
 	if target == 0 {
 		return 0
@@ -62,7 +68,7 @@
 // tier goes on to another one soon: of several agents, one has a free slot
 // long before a given one has.
 func (r *request) queueFor(left time.Duration) time.Duration {
-	if r.class.Tier != manifest.TopTier || left == 0 {
+	if r.class.Tier != manifest.TopTier || left == 0 || r.resuming {
 		return 0
 	}
 	return max(minQueueFor, left/queueShare)
