--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -129,6 +129,27 @@
 	}
 }
 
+// TestCallerHangsUp closes a caller's connection in the middle of a stream:
+// the run at the backend server is cancelled.
+func TestCallerHangsUp(t *testing.T) {
+	s := &server{cancelled: make(chan struct{}), answer: func(int, platform.Call) (*platform.Reply, error) {
+		return body(events(0, 2)), nil
+	}}
+	ctx, hangUp := context.WithCancel(context.Background())
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, benchDaemon(t, s)+"/v1/chat/completions", strings.NewReader(streamBody))
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if _, err := io.ReadFull(response.Body, make([]byte, len(events(0, 2)))); err != nil {
+		t.Fatal(err)
+	}
+	hangUp()
+	<-s.cancelled
+}
+
 // TestSlowCallerHoldsUpNobody leaves a long stream unread while other requests
 // go over the same connection between entry and agent.
 func TestSlowCallerHoldsUpNobody(t *testing.T) {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -69,16 +69,40 @@
 	runs int
 	// answer writes what the server says to its n-th run, counted from 1.
 	answer func(n int, call platform.Call) (*platform.Reply, error)
+	// cancelled, when set, makes each run go on until it is cancelled.
+	cancelled chan struct{}
 }
 
-func (s *server) Do(_ context.Context, call platform.Call) (*platform.Reply, error) {
+func (s *server) Do(ctx context.Context, call platform.Call) (*platform.Reply, error) {
 	s.mu.Lock()
 	s.runs++
 	n := s.runs
 	s.mu.Unlock()
-	return s.answer(n, call)
+	reply, err := s.answer(n, call)
+	if s.cancelled != nil {
+		reply.Body = &endless{Reader: reply.Body, ctx: ctx, cancelled: s.cancelled}
+	}
+	return reply, err
+}
+
+// endless is a body that goes on until its run is cancelled.
+type endless struct {
+	io.Reader
+	ctx       context.Context
+	cancelled chan struct{}
 }
 
+func (e *endless) Read(p []byte) (int, error) {
+	if n, _ := e.Reader.Read(p); n > 0 {
+		return n, nil
+	}
+	<-e.ctx.Done()
+	close(e.cancelled)
+	return 0, e.ctx.Err()
+}
+
+func (e *endless) Close() error { return nil }
+
 func (s *server) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -367,6 +391,22 @@
 	}
 }
 
+// TestRetryStormIsBounded lets callers repeat at once what fails everywhere.
+func TestRetryStormIsBounded(t *testing.T) {
+	fails := &server{answer: func(int, platform.Call) (*platform.Reply, error) { return nil, eris.New("reset") }}
+	b := newBench(t, manifestText(""), fails, fails, fails)
+	const requests = 500
+	for range requests {
+		w := b.do(0, http.MethodGet, "/v1/services/booking/x", "")
+		if w.Code < 500 || outcomeOf(w) == outcome.NotRun && w.Header().Get("Retry-After") == "" {
+			t.Fatalf("status %d, outcome %s, headers %v", w.Code, outcomeOf(w), w.Header())
+		}
+	}
+	if most := requests + requests/10 + minRetriesPerSecond*10; fails.count() > most {
+		t.Fatalf("%d runs of %d requests, at most %d are allowed", fails.count(), requests, most)
+	}
+}
+
 func TestLimitSealsAKeyInsteadOfGuessing(t *testing.T) {
 	s := &server{answer: func(n int, _ platform.Call) (*platform.Reply, error) { return body(fmt.Sprint("run ", n)), nil }}
 	b := newBench(t, manifestText(", requests_per_second: 0.001, burst: 2"), s)
