Keep requests from agents whose tokens come too slowly for their target

The router judged whole times only.

The entry now tells the router how many tokens came, and an agent whose mean time between tokens is over the request's target counts four expected times more, for 20 s after the last word on it.

Ruled out: leaving such agents out altogether; classes without that target still use them, and when all others are full so does the top tier.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -138,7 +138,7 @@
 	args.TargetLeft = req.targetLeft(sent)
 	args.QueueFor = req.queueFor(args.TargetLeft)
 	e.deps.Timeline.RecordWith(timeline.AttemptSent, req.id, "", timeline.Attributes{Peer: chosen.vm.Name})
-	d := &delivery{entry: e, req: req, chosen: chosen, id: args.ID, got: got, out: out, sent: sent}
+	d := &delivery{entry: e, req: req, chosen: chosen, id: args.ID, got: got, had: got.events, out: out, sent: sent}
 	e.agents.observe(chosen, d.seen(routing.KindSent))
 	first, refusal := e.submit(ctx, d, &args)
 	if refusal == nil {
--- a/entry/delivery.go
+++ b/entry/delivery.go
@@ -26,6 +26,7 @@
 	chosen target
 	id     string
 	got    *progress
+	had    int // tokens that the caller had before
 	out    sink
 	sent   time.Time
 
@@ -218,6 +219,7 @@
 // observation says how the attempt went.
 func (d *delivery) observation(refusal *outcome.Refusal) routing.Observation {
 	o := d.seen(routing.KindCompleted)
+	o.Tokens = d.got.events - d.had
 	if refusal != nil {
 		o.Kind = kindOf(refusal)
 		o.Wait = refusal.RetryAfter
--- a/routing/agent.go
+++ b/routing/agent.go
@@ -23,6 +23,15 @@
 	// maxRefusedFor bounds how long a refusal keeps requests away.
 	maxRefusedFor = 5 * time.Second
 	failureFactor = 4
+	// paceGain is the weight of a new observation of the time between tokens.
+	paceGain = 0.2
+	// paceMemory is how long an observed time between tokens counts.
+	paceMemory = 20 * time.Second
+	// minPaceTokens is the least number of tokens that show a pace.
+	minPaceTokens = 8
+	// lateFactor is how many times the expected time an agent counts more
+	// whose tokens come slower than the request's target allows.
+	lateFactor = 4
 	// idleAfter is how long an agent that is not used is remembered.
 	idleAfter    = 10 * time.Minute
 	maxWorkKinds = 1024
@@ -42,6 +51,9 @@
 	// slowness is the mean of observed over expected time.
 	slowness   float64
 	slownessAt time.Time
+	// betweenTokens is the mean time between tokens.
+	betweenTokens   time.Duration
+	betweenTokensAt time.Time
 	// awaiting counts the requests without a first token.
 	awaiting int
 	// progressAt is when a first token or an end came last, or when the first
@@ -67,6 +79,9 @@
 		slowness = a.slownessNow(now)
 		own = a.ownThen(c)
 		extra = a.silence(now, r.expectedFirst(req.Class, req.Model)) + a.refused(now, req.Tier, c)
+		if a.late(now, req.BetweenTokens) {
+			extra += lateFactor * expected
+		}
 	}
 	if c.DataCentre != r.cfg.DataCentre {
 		extra += remotePenalty
@@ -142,6 +157,24 @@
 	return max(0, a.refusedUntil.Sub(now))
 }
 
+// late reports whether the agent's tokens come slower than the target.
+func (a *agent) late(now time.Time, target time.Duration) bool {
+	return target > 0 && a.betweenTokens > target && now.Sub(a.betweenTokensAt) < paceMemory
+}
+
+// addPace takes in the time between the tokens of a request.
+func (a *agent) addPace(now time.Time, o Observation) {
+	if o.Tokens < minPaceTokens || o.FirstToken <= 0 {
+		return
+	}
+	between := (o.Whole - o.FirstToken) / time.Duration(o.Tokens-1)
+	if now.Sub(a.betweenTokensAt) >= paceMemory {
+		a.betweenTokens = between
+	}
+	a.betweenTokens += time.Duration(paceGain * float64(between-a.betweenTokens))
+	a.betweenTokensAt = now
+}
+
 func (r *Router) expectedWhole(class, model string) time.Duration {
 	if e, found := r.expected[kindOfWork{class, model}]; found {
 		return e.whole
@@ -211,6 +244,7 @@
 func (r *Router) completed(now time.Time, a *agent, o Observation) {
 	a.ended(now, o)
 	a.progressAt = now
+	a.addPace(now, o)
 	e := r.expectation(o)
 	if e == nil || o.Whole <= 0 {
 		return
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -68,6 +68,8 @@
 	Service    string
 	Account    string
 	PrefixHash uint64
+	// BetweenTokens is the target of the class; zero is none.
+	BetweenTokens time.Duration
 	// Excluded holds the VMs that were tried already.
 	Excluded map[string]bool
 }
@@ -94,6 +96,8 @@
 	FirstToken time.Duration
 	// Whole is the time from sending to the end.
 	Whole time.Duration
+	// Tokens is how many tokens came in that time.
+	Tokens int
 	// Wait is the time to come back that a refusal told.
 	Wait time.Duration
 	// Tier is the tier of the request; a refusal counts for it and the tiers
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -201,3 +201,36 @@
 		})
 	}
 }
+
+// TestSlowTokensKeepRequestsWithATargetAway shows that an agent whose tokens
+// come too slowly for a target is left to requests without one.
+func TestSlowTokensKeepRequestsWithATargetAway(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Config{DataCentre: "dc-1"}, rand.New(rand.NewPCG(1, 1)))
+	candidates := []Candidate{
+		{VM: "slow", DataCentre: "dc-1", State: agentapi.StateServing, Slots: 4, Allowed: true},
+		{VM: "fast", DataCentre: "dc-1", State: agentapi.StateServing, Slots: 4, Allowed: true, Outstanding: 4},
+	}
+	for _, o := range []struct {
+		vm      string
+		between time.Duration
+	}{{"slow", 32 * time.Millisecond}, {"fast", 12 * time.Millisecond}} {
+		r.Observe(now, o.vm, Observation{Kind: KindSent})
+		r.Observe(now, o.vm, Observation{
+			Kind: KindCompleted, FirstToken: 50 * time.Millisecond, Tokens: 11, Whole: 50*time.Millisecond + 10*o.between,
+		})
+	}
+	pick := func(target time.Duration, at time.Time) string {
+		index, _ := r.Pick(at, &Request{Tier: 1, BetweenTokens: target}, candidates)
+		return candidates[index].VM
+	}
+	if got := pick(27*time.Millisecond, now); got != "fast" {
+		t.Errorf("a target of 27 ms went to %s", got)
+	}
+	if got := pick(0, now); got != "slow" {
+		t.Errorf("no target went to %s, which has more to do", got)
+	}
+	if got := pick(27*time.Millisecond, now.Add(paceMemory)); got != "slow" {
+		t.Errorf("after %v without a word it was not tried again", paceMemory)
+	}
+}
