Bound the answers that an agent keeps for repeats of keys

Cause: answers to keyed requests were kept for the validity of their keys, with the request's body, and only their number was bounded: at 12 requests a second of 64 KB for 10 minutes that is some 460 MB, over the 256 MB allowed.

Their keys stay, so a repeat joins, does not run, and gets an unknown outcome. Bodies are let go when a run ends.

Ruled out: dropping the keys too; a repeat would run again.

Measured: go test -race -count=2 ./agent passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -71,6 +71,8 @@
 	// Slots is the number of requests that the backend server runs at once.
 	Slots  int
 	Policy admission.Policy
+	// KeptAnswerBytes bounds the answers kept for repeats of their keys.
+	KeptAnswerBytes int64
 	// Seed seeds the jitter of retry times.
 	Seed uint64
 }
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -78,7 +78,7 @@
 		t.Fatal(err)
 	}
 	b := &backend{runs: map[string]int{}, entered: make(chan string, 64), release: make(chan struct{})}
-	a := New(Config{VM: platform.VM{Name: "vm-1"}, Incarnation: "life-1", Services: []string{"booking"}, Slots: slots}, Dependencies{
+	a := New(Config{VM: platform.VM{Name: "vm-1"}, Incarnation: "life-1", Services: []string{"booking"}, Slots: slots, KeptAnswerBytes: 1 << 20}, Dependencies{
 		BackendServer: b, Configuration: store, Clock: c, Metrics: telemetry.New(),
 		Timeline: timeline.New(timeline.Process{}, 1024, c),
 	})
@@ -347,3 +347,41 @@
 		t.Fatal("a refused request ran")
 	}
 }
+
+func TestKeptAnswersAreBounded(t *testing.T) {
+	k := keptAnswers{limit: 100}
+	var runs []*run
+	for range 5 {
+		r := &run{answer: freshAnswer(true)}
+		if err := r.answer.append(ended(), make([]byte, 40)); err != nil {
+			t.Fatal(err)
+		}
+		r.answer.finish(nil)
+		runs = append(runs, r)
+		k.add(r)
+	}
+	for i, r := range runs {
+		if got := r.answer.read(ended(), 0, 1, 100); got.lost != (i < 3) || !got.lost && len(got.data) != 40 {
+			t.Errorf("answer %d: lost %v, %d bytes", i, got.lost, len(got.data))
+		}
+	}
+	k.expire(func(r *run) bool { return r != runs[4] })
+	if k.bytes != 40 || len(k.runs) != 1 {
+		t.Errorf("%d bytes of %d runs are left", k.bytes, len(k.runs))
+	}
+}
+
+func TestRepeatOfADiscardedAnswerDoesNotRun(t *testing.T) {
+	b := newBench(t, 1)
+	close(b.backend.release)
+	key := b.key()
+	b.submit(key, "payment")
+	b.read(key, 0)
+	b.agent.schedule.find(key, "acme").answer.discard()
+	if reply := b.submit(key, "payment"); !reply.Joined {
+		t.Fatalf("%+v", reply)
+	}
+	if got := b.read(key, 0); got.Known || b.runs(key) != 1 {
+		t.Fatalf("known %v, %d runs", got.Known, b.runs(key))
+	}
+}
--- a/agent/answer.go
+++ b/agent/answer.go
@@ -117,6 +117,21 @@
 	a.wake()
 }
 
+// size returns how many bytes the answer holds.
+func (a *answer) size() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return int64(len(a.data))
+}
+
+// discard lets go of the bytes of an answer; readers find them lost.
+func (a *answer) discard() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.first += int64(len(a.data))
+	a.data = nil
+}
+
 // read returns the part from the offset on. It waits until at least so many
 // bytes are there, the answer is over or the context ends.
 func (a *answer) read(ctx context.Context, offset int64, least, max int) part {
--- a/agent/meters.go
+++ b/agent/meters.go
@@ -14,16 +14,19 @@
 type meters struct {
 	metrics *telemetry.Metrics
 	joined  metrics.Counter
-	running metrics.Gauge
-	queued  metrics.Gauge
+	// discarded counts kept answers that lost their bytes to newer ones.
+	discarded metrics.Counter
+	running   metrics.Gauge
+	queued    metrics.Gauge
 }
 
 func newMeters(m *telemetry.Metrics) *meters {
 	return &meters{
-		metrics: m,
-		joined:  m.Counter("sesame_agent_joined_total"),
-		running: m.Gauge("sesame_agent_running"),
-		queued:  m.Gauge("sesame_agent_queued"),
+		metrics:   m,
+		joined:    m.Counter("sesame_agent_joined_total"),
+		discarded: m.Counter("sesame_agent_answers_discarded_total"),
+		running:   m.Gauge("sesame_agent_running"),
+		queued:    m.Gauge("sesame_agent_queued"),
 	}
 }
 
--- a/agent/retire.go
+++ b/agent/retire.go
@@ -114,10 +114,12 @@
 	if s.table == nil || s.table.Forget(now) == 0 {
 		return
 	}
-	validity := s.view.Manifest.Limits.KeyValidity
+	limit := s.view.Manifest.Limits.KeyValidity + keyFutureSkew
+	over := func(r *run) bool { return now.Sub(r.arrived) > limit }
+	s.kept.expire(over)
 	s.runs.Range(func(id, value any) bool {
 		r := value.(*run)
-		if r.keyed && r.life.Final() && now.Sub(r.arrived) > validity+keyFutureSkew {
+		if r.keyed && r.life.Final() && over(r) {
 			s.runs.Delete(id)
 		}
 		return true
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -35,6 +35,7 @@
 	estimates *estimate.Estimator
 	running   map[string]*run
 	ended     []*run // repeatable runs that are over but may still be read
+	kept      keptAnswers
 	forgotten time.Time
 
 	runs    sync.Map // string -> *run, for readers
@@ -52,6 +53,7 @@
 		meters:    newMeters(deps.Metrics),
 		state:     agentapi.StateStarting,
 		running:   map[string]*run{},
+		kept:      keptAnswers{limit: max(cfg.KeptAnswerBytes, 1)},
 		entries:   newEntryTimes(),
 		estimates: estimate.New(estimate.Config{}),
 	}
@@ -183,9 +185,12 @@
 	r.answer.finish(refusal)
 	s.meters.finished(r.args.Class, now.Sub(r.started), refusal)
 	s.note(timeline.RunFinished, r, r.life.State(), timeline.Attributes{})
+	r.args.Body = nil
 	if !r.keyed {
 		s.ended = append(s.ended, r)
+		return
 	}
+	s.meters.discarded.Inc(int64(s.kept.add(r)))
 }
 
 // find returns the run of an account, or nil. It is safe for concurrent use.
--- a/cmd/sesame-agent/main.go
+++ b/cmd/sesame-agent/main.go
@@ -26,13 +26,14 @@
 // flags are the settings of an agent.
 type flags struct {
 	node.Settings
-	Listen      string   `default:"127.0.0.1:0" validate:"tcp_addr" help:"Address for entries and other peers."`
-	BackendURL  string   `name:"backend-url" required:"" validate:"url" help:"Base URL of the backend server."`
-	BackendKind string   `default:"engine" validate:"oneof=engine service" help:"Kind of backend server: engine or service."`
-	Models      []string `help:"Models that the engine has loaded."`
-	Services    []string `help:"Plain services of the backend server."`
-	Slots       int      `default:"16" validate:"min=1,max=100000" help:"Requests that the backend server runs at once."`
-	Policy      string   `default:"sesame" validate:"oneof=sesame round-robin least" help:"Order of service; round-robin and least are baselines for experiments."`
+	Listen          string   `default:"127.0.0.1:0" validate:"tcp_addr" help:"Address for entries and other peers."`
+	BackendURL      string   `name:"backend-url" required:"" validate:"url" help:"Base URL of the backend server."`
+	BackendKind     string   `default:"engine" validate:"oneof=engine service" help:"Kind of backend server: engine or service."`
+	Models          []string `help:"Models that the engine has loaded."`
+	Services        []string `help:"Plain services of the backend server."`
+	Slots           int      `default:"16" validate:"min=1,max=100000" help:"Requests that the backend server runs at once."`
+	KeptAnswerBytes int64    `default:"67108864" validate:"min=1" help:"Bytes of answers kept for repeats of their idempotency keys; over it the oldest are let go and their repeats get an unknown outcome."`
+	Policy          string   `default:"sesame" validate:"oneof=sesame round-robin least" help:"Order of service; round-robin and least are baselines for experiments."`
 }
 
 // Validate checks that the kind of backend server fits what it serves.
@@ -66,7 +67,7 @@
 	}, log)
 	a := agent.New(agent.Config{
 		VM: n.Self, Incarnation: incarnation, Models: f.Models, Services: f.Services,
-		Slots: f.Slots, Policy: policy(f.Policy), Seed: uint64(now.UnixNano()),
+		Slots: f.Slots, KeptAnswerBytes: f.KeptAnswerBytes, Policy: policy(f.Policy), Seed: uint64(now.UnixNano()),
 	}, agent.Dependencies{
 		BackendServer: httpplatform.NewBackendServer(f.BackendURL), Configuration: n.Configuration,
 		Heard: n.HeardFrom, Clock: n.Clock, Metrics: n.Metrics, Timeline: n.Timeline,
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -195,7 +195,7 @@
 	c := clock.New()
 	a := agent.New(agent.Config{
 		VM: vm, Incarnation: agentapi.Incarnation("life-of-" + vm.Name),
-		Models: []string{"m"}, Services: []string{"booking"}, Slots: 8,
+		Models: []string{"m"}, Services: []string{"booking"}, Slots: 8, KeptAnswerBytes: 1 << 20,
 	}, agent.Dependencies{
 		BackendServer: s, Configuration: storeOf(t, manifest), Clock: c, Metrics: telemetry.New(),
 		Timeline: timeline.New(timeline.Process{}, 256, c),
