Find agents of models that an entry's subset does not have

Cause: the subset is chosen without regard to models, since only an agent's own word tells what it serves. With 24 of 800 agents and 11 models an entry has a chance of 10% to know no agent of a given model, and refused its requests.

An entry that knows fewer than 3 agents of a model or service now asks 8 others at a time, and keeps those that fit beyond its subset.

Ruled out: a larger subset; its heartbeats cost 116 B/s for each agent.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -25,12 +25,18 @@
 	deps  Dependencies
 	chart *statechart.Chart
 
-	mu      sync.Mutex
-	router  *routing.Router
-	agents  map[string]*agentView
-	list    []*agentView
-	scratch []routing.Candidate
-	views   []*agentView
+	mu     sync.Mutex
+	router *routing.Router
+	agents map[string]*agentView
+	list   []*agentView
+	// others are the agents beyond the subset, in the order in which they are
+	// asked for models and services that lack agents; asked counts those that
+	// were, and no search begins before searchAt.
+	others   []platform.VM
+	asked    int
+	searchAt time.Time
+	scratch  []routing.Candidate
+	views    []*agentView
 }
 
 // agentView is what the entry believes of one agent.
@@ -39,8 +45,10 @@
 	status      agentapi.Status
 	heardAt     time.Time
 	outstanding int
-	breaker     *retry.Breaker
-	life        *statechart.Machine
+	// extra agents are beyond the subset and were found by a search.
+	extra   bool
+	breaker *retry.Breaker
+	life    *statechart.Machine
 }
 
 // target is the agent chosen for an attempt.
@@ -72,23 +80,31 @@
 	}
 }
 
-// update keeps the deterministic subset of the agents.
+// update keeps the deterministic subset of the agents, and those beyond it
+// that were found to be needed.
 func (t *agentTable) update(vms []platform.VM) {
 	peers := make([]routing.Peer, len(vms))
 	for i, vm := range vms {
 		peers[i] = routing.Peer{VM: vm.Name, DataCentre: vm.DataCentre}
 	}
-	chosen := routing.Subset(t.cfg.VM.Name, t.cfg.VM.DataCentre, peers, t.cfg.SubsetSize)
+	order := routing.Subset(t.cfg.VM.Name, t.cfg.VM.DataCentre, peers, len(peers))
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	agents := make(map[string]*agentView, len(chosen))
-	list := make([]*agentView, 0, len(chosen))
-	for _, i := range chosen {
+	agents := make(map[string]*agentView, t.cfg.SubsetSize)
+	list := make([]*agentView, 0, t.cfg.SubsetSize)
+	t.others = t.others[:0]
+	for at, i := range order {
+		known := t.agents[vms[i].Name]
+		if at >= t.cfg.SubsetSize && (known == nil || !known.extra) {
+			t.others = append(t.others, vms[i])
+			continue
+		}
 		view := t.keep(vms[i])
 		agents[vms[i].Name] = view
 		list = append(list, view)
 	}
 	t.agents, t.list = agents, list
+	t.asked, t.searchAt = 0, time.Time{}
 }
 
 func (t *agentTable) keep(vm platform.VM) *agentView {
@@ -263,6 +279,7 @@
 			return nil
 		case <-ticker.C:
 			t.beat(ctx)
+			t.cover(ctx)
 		}
 	}
 }
@@ -293,14 +310,21 @@
 	return vms
 }
 
+// ask asks one of the entry's own agents for its status.
 func (t *agentTable) ask(ctx context.Context, vm platform.VM) {
+	status, err := t.status(ctx, vm)
+	if err != nil {
+		t.unheard(vm)
+		return
+	}
+	t.heard(vm, status)
+}
+
+func (t *agentTable) status(ctx context.Context, vm platform.VM) (*agentapi.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	args := agentapi.StatusArgs{Entry: t.cfg.VM.Name, ConfigVersion: t.deps.Configuration.Version()}
 	var reply agentapi.StatusReply
-	if err := t.deps.Peers.Call(ctx, vm.Address, agentapi.MethodStatus, args, &reply); err != nil {
-		t.unheard(vm)
-		return
-	}
-	t.heard(vm, &reply.Status)
+	err := t.deps.Peers.Call(ctx, vm.Address, agentapi.MethodStatus, args, &reply)
+	return &reply.Status, err
 }
