--- a/prove/cluster.go
+++ b/prove/cluster.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/sesameswitch/sesameswitch/testbed"
+
 	"github.com/rotisserie/eris"
 
 	"github.com/sesameswitch/sesameswitch/history"
@@ -122,7 +124,7 @@
 }
 
 func (c *cluster) standIn(name, kind string, args ...string) (*process, error) {
-	address, err := freeAddress()
+	address, err := testbed.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -177,11 +179,11 @@
 // newMember returns a member with free addresses and the flags that all
 // members have.
 func (c *cluster) newMember(name, program string, role platform.Role) (*member, string, error) {
-	admin, err := freeAddress()
+	admin, err := testbed.FreeAddress()
 	if err != nil {
 		return nil, "", err
 	}
-	peers, err := freeAddress()
+	peers, err := testbed.FreeAddress()
 	if err != nil {
 		return nil, "", err
 	}
@@ -221,7 +223,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if m.callers, err = freeAddress(); err != nil {
+	if m.callers, err = testbed.FreeAddress(); err != nil {
 		return nil, err
 	}
 	m.args = append(m.args, "--listen", m.callers, "--peer-listen", peers)
--- a/prove/process.go
+++ b/prove/process.go
@@ -2,11 +2,8 @@
 
 import (
 	"bytes"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -100,26 +97,3 @@
 		return eris.Errorf("%s did not end within %v of SIGTERM", p.name, exitPatience)
 	}
 }
-
-const (
-	listenPort = 9000
-	// addressTries bounds the search for an address that is free.
-	addressTries = 100
-)
-
-// freeAddress returns an address that nobody listens on. Each has a loopback
-// IP number of its own, so that no outgoing connection takes its port while
-// the process that owns it is down.
-func freeAddress() (string, error) {
-	for range addressTries {
-		ip := net.IPv4(127, byte(1+rand.IntN(250)), byte(rand.IntN(256)), byte(1+rand.IntN(250)))
-		address := net.JoinHostPort(ip.String(), strconv.Itoa(listenPort))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		l.Close()
-		return address, nil
-	}
-	return "", eris.New("no free loopback address found")
-}
