--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -30,7 +31,15 @@
 	settings.Main(settings.Program{Name: "sesame-entry", Description: "The process that callers talk to."}, run)
 }
 
+// gcPercent bounds the garbage of an entry, in percent of what is in use. An
+// entry holds many small things for long, so the default of 100 would mostly
+// be memory that nobody uses. GOGC in the environment goes first.
+const gcPercent = 50
+
 func run(f *flags) error {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	log, err := f.Logger(os.Stderr)
 	if err != nil {
 		return err
