--- a/load/html.go
+++ b/load/html.go
@@ -9,7 +9,7 @@
 const (
 	barWidth  = 420
 	barHeight = 16
-	labelLeft = 190
+	labelLeft = 230
 	rowHeight = 20
 )
 
