--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,7 +18,7 @@
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/configsync"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/ring"
 	"github.com/sesameswitch/sesameswitch/telemetry"
 	"github.com/sesameswitch/sesameswitch/timeline"
@@ -64,7 +64,7 @@
 
 // Config holds what an agent needs to know of itself.
 type Config struct {
-	VM          platform.VM
+	VM          provider.VM
 	Incarnation agentapi.Incarnation
 	Models      []string
 	Services    []string
@@ -79,7 +79,7 @@
 
 // Dependencies are the parts that an agent works with.
 type Dependencies struct {
-	BackendServer platform.BackendServer
+	BackendServer provider.BackendServer
 	Configuration *configsync.Store
 	// Heard is told a version of the configuration that an entry named.
 	Heard    func(version uint64, entry string)
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -14,7 +14,7 @@
 	"github.com/sesameswitch/sesameswitch/configsync"
 	"github.com/sesameswitch/sesameswitch/idempotency"
 	"github.com/sesameswitch/sesameswitch/outcome"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/telemetry"
 	"github.com/sesameswitch/sesameswitch/timeline"
 )
@@ -44,7 +44,7 @@
 	err     error
 }
 
-func (b *backend) Do(ctx context.Context, call platform.Call) (*platform.Reply, error) {
+func (b *backend) Do(ctx context.Context, call provider.Call) (*provider.Reply, error) {
 	id := call.Header["Sesame-Run-Id"]
 	b.mu.Lock()
 	b.runs[id]++
@@ -59,7 +59,7 @@
 		return nil, b.err
 	}
 	body := "answer to " + id
-	return &platform.Reply{Status: 200, Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}, nil
+	return &provider.Reply{Status: 200, Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}, nil
 }
 
 type bench struct {
@@ -78,7 +78,7 @@
 		t.Fatal(err)
 	}
 	b := &backend{runs: map[string]int{}, entered: make(chan string, 64), release: make(chan struct{})}
-	a := New(Config{VM: platform.VM{Name: "vm-1"}, Incarnation: "life-1", Services: []string{"booking"}, Slots: slots, KeptAnswerBytes: 1 << 20}, Dependencies{
+	a := New(Config{VM: provider.VM{Name: "vm-1"}, Incarnation: "life-1", Services: []string{"booking"}, Slots: slots, KeptAnswerBytes: 1 << 20}, Dependencies{
 		BackendServer: b, Configuration: store, Clock: c, Metrics: telemetry.New(),
 		Timeline: timeline.New(timeline.Process{}, 1024, c),
 	})
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -8,7 +8,7 @@
 
 	"github.com/sesameswitch/sesameswitch/internal/mutation"
 	"github.com/sesameswitch/sesameswitch/outcome"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // readBufferBytes is the size of one read from a backend server.
@@ -25,7 +25,7 @@
 
 // execute sends a run to the backend server and fills its answer. It returns
 // nil when the answer is whole, and otherwise why it is not.
-func execute(ctx context.Context, server platform.BackendServer, r *run) *outcome.Refusal {
+func execute(ctx context.Context, server provider.BackendServer, r *run) *outcome.Refusal {
 	reply, err := server.Do(ctx, callOf(r))
 	if err != nil {
 		return failure(ctx, err)
@@ -58,8 +58,8 @@
 	return outcome.Doubt(outcome.ReasonBackendServer, err.Error())
 }
 
-func callOf(r *run) platform.Call {
-	call := platform.Call{
+func callOf(r *run) provider.Call {
+	call := provider.Call{
 		Method:     r.args.Method,
 		Path:       r.args.Path,
 		Header:     map[string]string{"Sesame-Run-Id": r.args.ID},
@@ -118,7 +118,7 @@
 var errTooLong = errors.New("the backend server's answer is too long")
 
 // copyBody copies a body whose end the transport checks.
-func copyBody(ctx context.Context, a *answer, reply *platform.Reply) error {
+func copyBody(ctx context.Context, a *answer, reply *provider.Reply) error {
 	buffer := make([]byte, readBufferBytes)
 	total := int64(0)
 	for {
--- a/cmd/sesame-agent/main.go
+++ b/cmd/sesame-agent/main.go
@@ -12,8 +12,8 @@
 	"github.com/sesameswitch/sesameswitch/admission"
 	"github.com/sesameswitch/sesameswitch/agent"
 	"github.com/sesameswitch/sesameswitch/node"
-	"github.com/sesameswitch/sesameswitch/platform"
-	"github.com/sesameswitch/sesameswitch/platform/httpplatform"
+	"github.com/sesameswitch/sesameswitch/provider"
+	"github.com/sesameswitch/sesameswitch/provider/httpprovider"
 	"github.com/sesameswitch/sesameswitch/settings"
 )
 
@@ -63,13 +63,13 @@
 	now := time.Now()
 	incarnation := agent.NewIncarnation(now)
 	n := node.New(f.Settings, node.Identity{
-		Role: platform.RoleAgent, Incarnation: string(incarnation), Address: listener.Addr().String(),
+		Role: provider.RoleAgent, Incarnation: string(incarnation), Address: listener.Addr().String(),
 	}, log)
 	a := agent.New(agent.Config{
 		VM: n.Self, Incarnation: incarnation, Models: f.Models, Services: f.Services,
 		Slots: f.Slots, KeptAnswerBytes: f.KeptAnswerBytes, Policy: policy(f.Policy), Seed: uint64(now.UnixNano()),
 	}, agent.Dependencies{
-		BackendServer: httpplatform.NewBackendServer(f.BackendURL), Configuration: n.Configuration,
+		BackendServer: httpprovider.NewBackendServer(f.BackendURL), Configuration: n.Configuration,
 		Heard: n.HeardFrom, Clock: n.Clock, Metrics: n.Metrics, Timeline: n.Timeline,
 	})
 	if err := n.PeerServer.Register("Agent", agent.NewService(a)); err != nil {
--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -13,7 +13,7 @@
 	"github.com/sesameswitch/sesameswitch/agent"
 	"github.com/sesameswitch/sesameswitch/entry"
 	"github.com/sesameswitch/sesameswitch/node"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/routing"
 	"github.com/sesameswitch/sesameswitch/settings"
 )
@@ -54,7 +54,7 @@
 	}
 	now := time.Now()
 	n := node.New(f.Settings, node.Identity{
-		Role: platform.RoleEntry, Incarnation: string(agent.NewIncarnation(now)), Address: peers.Addr().String(),
+		Role: provider.RoleEntry, Incarnation: string(agent.NewIncarnation(now)), Address: peers.Addr().String(),
 	}, log)
 	e := entry.New(entry.Config{
 		VM: n.Self, Policy: policy(f.Policy), SubsetSize: f.SubsetSize, Seed: uint64(now.UnixNano()),
--- a/cmd/sesamectl/main_test.go
+++ b/cmd/sesamectl/main_test.go
@@ -12,8 +12,8 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/sesameswitch/sesameswitch/clock"
-	"github.com/sesameswitch/sesameswitch/platform"
 	"github.com/sesameswitch/sesameswitch/processstatus"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/timeline"
 )
 
@@ -95,7 +95,7 @@
 	agent := newAgent(t)
 	host, port, _ := strings.Cut(strings.TrimPrefix(agent.URL, "http://"), ":")
 	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write([]byte(`[{"name":"lis-2-booking-1","address":"` + host + `:9","role":"` + string(platform.RoleAgent) + `","state":"live"}]`))
+		_, _ = w.Write([]byte(`[{"name":"lis-2-booking-1","address":"` + host + `:9","role":"` + string(provider.RoleAgent) + `","state":"live"}]`))
 	}))
 	t.Cleanup(list.Close)
 	var out bytes.Buffer
--- a/configsync/cluster_test.go
+++ b/configsync/cluster_test.go
@@ -10,42 +10,42 @@
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/configsync/memnet"
 	"github.com/sesameswitch/sesameswitch/membership"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // replica is a stand-in for one replica of the configuration service. A watch
 // never waits: it answers unchanged at once.
 type replica struct {
-	doc   platform.Document
+	doc   provider.Document
 	err   error
 	hang  bool
 	calls int
 }
 
-func (r *replica) Read(ctx context.Context) (platform.Document, error) {
+func (r *replica) Read(ctx context.Context) (provider.Document, error) {
 	r.calls++
 	if r.hang {
 		<-ctx.Done()
-		return platform.Document{}, ctx.Err()
+		return provider.Document{}, ctx.Err()
 	}
 	return r.doc, r.err
 }
 
-func (r *replica) Watch(ctx context.Context, after uint64) (platform.Document, bool, error) {
+func (r *replica) Watch(ctx context.Context, after uint64) (provider.Document, bool, error) {
 	doc, err := r.Read(ctx)
 	return doc, err == nil && doc.Revision != after, err
 }
 
 // publish replaces the document; the revision is the version.
 func (r *replica) publish(version uint64) {
-	r.doc = platform.Document{Revision: version, Body: document(version, "d")}
+	r.doc = provider.Document{Revision: version, Body: document(version, "d")}
 }
 
 var errDown = errors.New("service is down")
 
 // node is one process of a cluster.
 type node struct {
-	vm     platform.VM
+	vm     provider.VM
 	store  *Store
 	syncer *Syncer
 	// versions are the versions that came into force in this life.
@@ -57,7 +57,7 @@
 	tb      testing.TB
 	clock   *clock.Manual
 	network *memnet.Network
-	vms     []platform.VM
+	vms     []provider.VM
 	nodes   []*node
 	// sources[i] is what node i reads.
 	sources []*replica
@@ -67,12 +67,12 @@
 func newCluster(tb testing.TB, size int) *cluster {
 	c := &cluster{tb: tb, clock: clock.NewManual(testStart), network: memnet.New()}
 	for i := range size {
-		c.vms = append(c.vms, platform.VM{
+		c.vms = append(c.vms, provider.VM{
 			Name:       fmt.Sprintf("vm-%02d", i),
 			Address:    fmt.Sprintf("10.0.0.%d:1", i+1),
 			DataCentre: fmt.Sprintf("dc-%d", i%3),
-			Role:       platform.RoleAgent,
-			State:      platform.VMLive,
+			Role:       provider.RoleAgent,
+			State:      provider.VMLive,
 		})
 	}
 	for i := range size {
--- a/configsync/config.go
+++ b/configsync/config.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/clock"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // Caller carries one net/rpc call to the process at an address. The context
@@ -17,8 +17,8 @@
 
 // Members lists the processes of the deployment.
 type Members interface {
-	Self() platform.VM
-	VMs() []platform.VM
+	Self() provider.VM
+	VMs() []provider.VM
 }
 
 // Timing holds the intervals and bounds of a Syncer.
@@ -90,7 +90,7 @@
 type SyncerConfig struct {
 	Store *Store
 	// Source is the configuration service; nil means that there is none.
-	Source  platform.ConfigSource
+	Source  provider.ConfigSource
 	Members Members
 	Caller  Caller
 	Clock   clock.Clock
--- a/configsync/confirm.go
+++ b/configsync/confirm.go
@@ -5,7 +5,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // Confirmation says who was asked for the version in force.
@@ -44,7 +44,7 @@
 // the configuration service. The peers' version goes first, so that a stale
 // service's document does not come into force before it.
 func (s *Syncer) confirm(ctx context.Context) Confirmation {
-	var fromService platform.Document
+	var fromService provider.Document
 	read := false
 	var questions errgroup.Group
 	if s.cfg.Store.Current() == nil {
@@ -73,7 +73,7 @@
 
 // askVersion fills in the offer of a peer; its address stays empty when the
 // peer does not answer.
-func (s *Syncer) askVersion(ctx context.Context, vm platform.VM, answer *Offer) {
+func (s *Syncer) askVersion(ctx context.Context, vm provider.VM, answer *Offer) {
 	var reply Offer
 	if err := s.exchange(ctx, vm.Address, &reply); err != nil {
 		return
@@ -105,22 +105,22 @@
 }
 
 // readService reads the configuration service.
-func (s *Syncer) readService(ctx context.Context) (platform.Document, bool) {
+func (s *Syncer) readService(ctx context.Context) (provider.Document, bool) {
 	if s.cfg.Source == nil {
-		return platform.Document{}, false
+		return provider.Document{}, false
 	}
 	s.counts.ServiceCalls.Add(1)
 	doc, err := s.cfg.Source.Read(ctx)
 	if err != nil {
 		s.counts.ServiceFailures.Add(1)
-		return platform.Document{}, false
+		return provider.Document{}, false
 	}
 	return doc, true
 }
 
 // acceptFromService offers what the service said and reports whether it was
 // a valid document.
-func (s *Syncer) acceptFromService(doc platform.Document) bool {
+func (s *Syncer) acceptFromService(doc provider.Document) bool {
 	verdict, _ := s.cfg.Store.Offer(doc.Body, SourceService)
 	switch verdict {
 	case Accepted:
--- a/configsync/syncer.go
+++ b/configsync/syncer.go
@@ -13,7 +13,7 @@
 
 	"github.com/sesameswitch/sesameswitch/configsync/delta"
 	"github.com/sesameswitch/sesameswitch/membership"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // held is a document that this process can hand out.
@@ -326,36 +326,36 @@
 }
 
 // neighbours returns the processes that this one announces versions to.
-func (s *Syncer) neighbours() []platform.VM {
+func (s *Syncer) neighbours() []provider.VM {
 	epoch := uint64(s.cfg.Clock.Now().UnixNano() / int64(s.cfg.Timing.NeighbourPeriod))
 	return membership.Neighbours(s.cfg.Members.Self(), s.cfg.Members.VMs(), epoch, LocalNeighbours, RemoteNeighbours)
 }
 
-func (s *Syncer) randomNeighbour() (platform.VM, bool) {
+func (s *Syncer) randomNeighbour() (provider.VM, bool) {
 	list := s.neighbours()
 	if len(list) == 0 {
-		return platform.VM{}, false
+		return provider.VM{}, false
 	}
 	return list[s.intN(len(list))], true
 }
 
 // randomPeer returns any other process of the deployment.
-func (s *Syncer) randomPeer() (platform.VM, bool) {
+func (s *Syncer) randomPeer() (provider.VM, bool) {
 	peers := s.sample(1)
 	if len(peers) == 0 {
-		return platform.VM{}, false
+		return provider.VM{}, false
 	}
 	return peers[0], true
 }
 
 // sample returns up to n other processes in random order.
-func (s *Syncer) sample(n int) []platform.VM {
+func (s *Syncer) sample(n int) []provider.VM {
 	self := s.cfg.Members.Self()
 	vms := s.cfg.Members.VMs()
 	s.randMu.Lock()
 	order := s.cfg.Rand.Perm(len(vms))
 	s.randMu.Unlock()
-	var peers []platform.VM
+	var peers []provider.VM
 	for _, i := range order {
 		if len(peers) == n {
 			break
--- a/configsync/syncer_test.go
+++ b/configsync/syncer_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/sesameswitch/sesameswitch/configsync/delta"
 	"github.com/sesameswitch/sesameswitch/manifest"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 func TestStartBesideStaleService(t *testing.T) {
@@ -113,15 +113,15 @@
 	good := document(2, "d")
 	faults := []struct {
 		name string
-		doc  platform.Document
+		doc  provider.Document
 		err  error
 	}{
-		{"down", platform.Document{}, errDown},
-		{"garbage", platform.Document{Revision: 8, Body: []byte("\x00{{")}, nil},
-		{"half", platform.Document{Revision: 8, Body: good[:len(good)-10]}, nil},
-		{"oversize", platform.Document{Revision: 8, Body: bytes.Repeat([]byte("#"), manifest.MaxDocumentBytes+1)}, nil},
-		{"stale", platform.Document{Revision: 1, Body: document(1, "d")}, nil},
-		{"empty", platform.Document{Revision: 8}, nil},
+		{"down", provider.Document{}, errDown},
+		{"garbage", provider.Document{Revision: 8, Body: []byte("\x00{{")}, nil},
+		{"half", provider.Document{Revision: 8, Body: good[:len(good)-10]}, nil},
+		{"oversize", provider.Document{Revision: 8, Body: bytes.Repeat([]byte("#"), manifest.MaxDocumentBytes+1)}, nil},
+		{"stale", provider.Document{Revision: 1, Body: document(1, "d")}, nil},
+		{"empty", provider.Document{Revision: 8}, nil},
 	}
 	for _, fault := range faults {
 		t.Run(fault.name, func(t *testing.T) {
--- a/configsync/watch.go
+++ b/configsync/watch.go
@@ -7,7 +7,7 @@
 	"github.com/sesameswitch/sesameswitch/clock"
 
 	"github.com/sesameswitch/sesameswitch/membership"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // dutyPurpose names the election of the configuration service's watchers.
@@ -66,7 +66,7 @@
 
 // IsWatcher reports whether self watches the configuration service in an
 // epoch, which is one DutyPeriod.
-func IsWatcher(self platform.VM, vms []platform.VM, epoch uint64) bool {
+func IsWatcher(self provider.VM, vms []provider.VM, epoch uint64) bool {
 	return membership.OnDuty(self, vms, dutyPurpose, epoch, WatchersPerDataCentre)
 }
 
@@ -124,7 +124,7 @@
 // offerFromService offers a document of the configuration service to the
 // store and announces it when it is new. It reports whether the document is
 // in force.
-func (s *Syncer) offerFromService(doc platform.Document) bool {
+func (s *Syncer) offerFromService(doc provider.Document) bool {
 	verdict, _ := s.cfg.Store.Offer(doc.Body, SourceService)
 	if verdict != Accepted && verdict != Same {
 		s.watch.refused, s.watch.seen = true, doc.Revision
--- a/ctl/processes.go
+++ b/ctl/processes.go
@@ -11,7 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/sesameswitch/sesameswitch/platform/httpplatform"
+	"github.com/sesameswitch/sesameswitch/provider/httpprovider"
 )
 
 // answerTimeout bounds one question to one process.
@@ -35,7 +35,7 @@
 		urls = append(urls, baseURL(address))
 	}
 	if p.VMList != "" {
-		vms, err := httpplatform.NewVMList(p.VMList).List(ctx)
+		vms, err := httpprovider.NewVMList(p.VMList).List(ctx)
 		if err != nil {
 			return nil, err
 		}
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/retry"
 	"github.com/sesameswitch/sesameswitch/routing"
 	"github.com/sesameswitch/sesameswitch/statechart"
@@ -34,7 +34,7 @@
 	// others are the agents beyond the subset, in the order in which they are
 	// asked for models and services that lack agents; asked counts those that
 	// were, and no search begins before searchAt.
-	others   []platform.VM
+	others   []provider.VM
 	asked    int
 	searchAt time.Time
 	scratch  []routing.Candidate
@@ -43,7 +43,7 @@
 
 // agentView is what the entry believes of one agent.
 type agentView struct {
-	vm          platform.VM
+	vm          provider.VM
 	status      agentapi.Status
 	heardAt     time.Time
 	outstanding int
@@ -55,7 +55,7 @@
 
 // target is the agent chosen for an attempt.
 type target struct {
-	vm          platform.VM
+	vm          provider.VM
 	incarnation agentapi.Incarnation
 }
 
@@ -84,7 +84,7 @@
 
 // update keeps the deterministic subset of the agents, and those beyond it
 // that were found to be needed.
-func (t *agentTable) update(vms []platform.VM) {
+func (t *agentTable) update(vms []provider.VM) {
 	peers := make([]routing.Peer, len(vms))
 	for i, vm := range vms {
 		peers[i] = routing.Peer{VM: vm.Name, DataCentre: vm.DataCentre}
@@ -109,13 +109,13 @@
 	t.asked, t.searchAt = 0, time.Time{}
 }
 
-func (t *agentTable) keep(vm platform.VM) *agentView {
+func (t *agentTable) keep(vm provider.VM) *agentView {
 	view, ok := t.agents[vm.Name]
 	if !ok || view.vm.Address != vm.Address {
 		view = &agentView{vm: vm, life: t.chart.New(), breaker: retry.NewBreaker(retry.BreakerConfig{})}
 	}
 	view.vm = vm
-	if vm.State == platform.VMLeaving && view.life.State() != "leaving" {
+	if vm.State == provider.VMLeaving && view.life.State() != "leaving" {
 		t.fire(view, "leave")
 	}
 	return view
@@ -133,7 +133,7 @@
 }
 
 // heard takes up an agent's own word.
-func (t *agentTable) heard(vm platform.VM, status *agentapi.Status) {
+func (t *agentTable) heard(vm provider.VM, status *agentapi.Status) {
 	if status.Incarnation == "" {
 		return
 	}
@@ -164,7 +164,7 @@
 }
 
 // unheard notes that an agent did not answer a heartbeat.
-func (t *agentTable) unheard(vm platform.VM) {
+func (t *agentTable) unheard(vm provider.VM) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if view, ok := t.agents[vm.Name]; ok {
@@ -293,11 +293,11 @@
 }
 
 // quiet lists the agents that were not heard within the interval.
-func (t *agentTable) quiet() []platform.VM {
+func (t *agentTable) quiet() []provider.VM {
 	now := t.deps.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var vms []platform.VM
+	var vms []provider.VM
 	for _, view := range t.list {
 		if now.Sub(view.heardAt) >= heartbeatInterval {
 			vms = append(vms, view.vm)
@@ -307,7 +307,7 @@
 }
 
 // ask asks one of the entry's own agents for its status.
-func (t *agentTable) ask(ctx context.Context, vm platform.VM) {
+func (t *agentTable) ask(ctx context.Context, vm provider.VM) {
 	status, err := t.status(ctx, vm)
 	if err != nil {
 		t.unheard(vm)
@@ -316,7 +316,7 @@
 	t.heard(vm, status)
 }
 
-func (t *agentTable) status(ctx context.Context, vm platform.VM) (*agentapi.Status, error) {
+func (t *agentTable) status(ctx context.Context, vm provider.VM) (*agentapi.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	args := agentapi.StatusArgs{Entry: t.cfg.VM.Name, ConfigVersion: t.deps.Configuration.Version()}
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/sesameswitch/sesameswitch/agent"
 	"github.com/sesameswitch/sesameswitch/peer"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // benchDaemon starts an entry and an agent that talk over a real connection.
@@ -29,7 +29,7 @@
 	pool := peer.NewPool(peer.DefaultConfig())
 	e := bench.list[0]
 	e.deps.Peers = pool
-	e.deps.Members.Apply([]platform.VM{{Name: "agent-1", Address: l.Addr().String(), Role: platform.RoleAgent, State: platform.VMLive}})
+	e.deps.Members.Apply([]provider.VM{{Name: "agent-1", Address: l.Addr().String(), Role: provider.RoleAgent, State: provider.VMLive}})
 	e.agents.update(e.deps.Members.Agents())
 	e.agents.deps.Peers = pool
 	e.agents.beat(b.Context())
@@ -74,13 +74,13 @@
 // BenchmarkPlainCall measures the way through entry and agent with a backend
 // server that answers at once.
 func BenchmarkPlainCall(b *testing.B) {
-	s := &server{answer: func(int, platform.Call) (*platform.Reply, error) { return body(`{"ok":true}`), nil }}
+	s := &server{answer: func(int, provider.Call) (*provider.Reply, error) { return body(`{"ok":true}`), nil }}
 	benchRequests(b, benchDaemon(b, s), `{"model":"m","messages":[]}`)
 }
 
 // BenchmarkStream measures streams of 32 events.
 func BenchmarkStream(b *testing.B) {
 	text := events(0, 32) + fmt.Sprint(done)
-	s := &server{answer: func(int, platform.Call) (*platform.Reply, error) { return body(text), nil }}
+	s := &server{answer: func(int, provider.Call) (*provider.Reply, error) { return body(text), nil }}
 	benchRequests(b, benchDaemon(b, s), streamBody)
 }
--- a/entry/coverage.go
+++ b/entry/coverage.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 const (
@@ -80,14 +80,14 @@
 
 // strangers returns the next agents to ask that are not the entry's own. It
 // returns none for a while after all were asked.
-func (t *agentTable) strangers() []platform.VM {
+func (t *agentTable) strangers() []provider.VM {
 	now := t.deps.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Before(t.searchAt) {
 		return nil
 	}
-	var next []platform.VM
+	var next []provider.VM
 	for len(next) < coverBatch && t.asked < len(t.others) {
 		vm := t.others[t.asked]
 		t.asked++
@@ -103,7 +103,7 @@
 }
 
 // admit takes an agent beyond the subset among the entry's own.
-func (t *agentTable) admit(vm platform.VM, status *agentapi.Status) {
+func (t *agentTable) admit(vm provider.VM, status *agentapi.Status) {
 	now := t.deps.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/entry/coverage_test.go
+++ b/entry/coverage_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/clock"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/routing"
 	"github.com/sesameswitch/sesameswitch/telemetry"
 	"github.com/sesameswitch/sesameswitch/timeline"
@@ -26,9 +26,9 @@
 // beyond the entry's subset.
 func TestAgentsOfARareModelAreFound(t *testing.T) {
 	agents := fleet{}
-	var vms []platform.VM
+	var vms []provider.VM
 	for i := range 40 {
-		vm := platform.VM{Name: fmt.Sprintf("agent-%d", i), Address: fmt.Sprint(i), Role: platform.RoleAgent, State: platform.VMLive}
+		vm := provider.VM{Name: fmt.Sprintf("agent-%d", i), Address: fmt.Sprint(i), Role: provider.RoleAgent, State: provider.VMLive}
 		vms = append(vms, vm)
 		agents[vm.Address] = &agentapi.Status{
 			VM: vm.Name, Incarnation: "life", State: agentapi.StateServing, Services: []string{"booking"}, Slots: 1,
@@ -36,7 +36,7 @@
 	}
 	c := clock.New()
 	router := routing.New(routing.Config{}, rand.New(rand.NewPCG(1, 1)))
-	table := newAgentTable(Config{VM: platform.VM{Name: "entry"}, SubsetSize: 4}, Dependencies{
+	table := newAgentTable(Config{VM: provider.VM{Name: "entry"}, SubsetSize: 4}, Dependencies{
 		Peers: agents, Configuration: storeOf(t, manifestText("")), Clock: c, Log: quiet(),
 		Metrics: telemetry.New(), Timeline: timeline.New(timeline.Process{}, 64, c),
 	}, router)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,7 +22,7 @@
 	"github.com/sesameswitch/sesameswitch/limit"
 	"github.com/sesameswitch/sesameswitch/manifest"
 	"github.com/sesameswitch/sesameswitch/membership"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/retry"
 	"github.com/sesameswitch/sesameswitch/routing"
 	"github.com/sesameswitch/sesameswitch/telemetry"
@@ -80,7 +80,7 @@
 
 // Config holds what an entry needs to know of itself.
 type Config struct {
-	VM     platform.VM
+	VM     provider.VM
 	Policy routing.Policy
 	// SubsetSize is how many agents the entry keeps heartbeats with.
 	SubsetSize int
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -27,7 +27,7 @@
 	"github.com/sesameswitch/sesameswitch/membership"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/peer"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/telemetry"
 	"github.com/sesameswitch/sesameswitch/timeline"
 )
@@ -68,12 +68,12 @@
 	mu   sync.Mutex
 	runs int
 	// answer writes what the server says to its n-th run, counted from 1.
-	answer func(n int, call platform.Call) (*platform.Reply, error)
+	answer func(n int, call provider.Call) (*provider.Reply, error)
 	// cancelled, when set, makes each run go on until it is cancelled.
 	cancelled chan struct{}
 }
 
-func (s *server) Do(ctx context.Context, call platform.Call) (*platform.Reply, error) {
+func (s *server) Do(ctx context.Context, call provider.Call) (*provider.Reply, error) {
 	s.mu.Lock()
 	s.runs++
 	n := s.runs
@@ -109,8 +109,8 @@
 	return s.runs
 }
 
-func body(text string) *platform.Reply {
-	return &platform.Reply{Status: 200, Length: -1, Body: io.NopCloser(strings.NewReader(text))}
+func body(text string) *provider.Reply {
+	return &provider.Reply{Status: 200, Length: -1, Body: io.NopCloser(strings.NewReader(text))}
 }
 
 // network carries calls to agents in this process and can lose them.
@@ -164,9 +164,9 @@
 func newBench(t testing.TB, manifest []byte, servers ...*server) *bench {
 	t.Helper()
 	b := &bench{network: &network{agents: map[string]*agent.Service{}}}
-	var vms []platform.VM
+	var vms []provider.VM
 	for i, s := range servers {
-		vm := platform.VM{Name: fmt.Sprintf("agent-%d", i+1), Address: fmt.Sprintf("agent-%d:1", i+1), Role: platform.RoleAgent, State: platform.VMLive}
+		vm := provider.VM{Name: fmt.Sprintf("agent-%d", i+1), Address: fmt.Sprintf("agent-%d:1", i+1), Role: provider.RoleAgent, State: provider.VMLive}
 		vms = append(vms, vm)
 		b.addAgent(t, manifest, vm, s)
 	}
@@ -191,7 +191,7 @@
 	return store
 }
 
-func (b *bench) addAgent(t testing.TB, manifest []byte, vm platform.VM, s *server) {
+func (b *bench) addAgent(t testing.TB, manifest []byte, vm provider.VM, s *server) {
 	c := clock.New()
 	a := agent.New(agent.Config{
 		VM: vm, Incarnation: agentapi.Incarnation("life-of-" + vm.Name),
@@ -209,12 +209,12 @@
 	b.network.agents[vm.Address] = agent.NewService(a)
 }
 
-func (b *bench) addEntry(t testing.TB, manifest []byte, name string, vms []platform.VM) {
+func (b *bench) addEntry(t testing.TB, manifest []byte, name string, vms []provider.VM) {
 	t.Helper()
 	c := clock.New()
-	self := platform.VM{Name: name, Role: platform.RoleEntry, State: platform.VMLive}
+	self := provider.VM{Name: name, Role: provider.RoleEntry, State: provider.VMLive}
 	members := membership.NewTable(self, c)
-	members.Apply(append([]platform.VM{self}, vms...))
+	members.Apply(append([]provider.VM{self}, vms...))
 	e := New(Config{VM: self, SubsetSize: 8, Seed: 1}, Dependencies{
 		Peers: b.network, Configuration: storeOf(t, manifest), Members: members, Clock: c,
 		Metrics: telemetry.New(), Timeline: timeline.New(timeline.Process{}, 256, c), Log: quiet(),
@@ -283,8 +283,8 @@
 )
 
 func TestStreamGoesOnAtAnotherAgent(t *testing.T) {
-	breaks := &server{answer: func(int, platform.Call) (*platform.Reply, error) { return body(events(0, 3)), nil }}
-	resumes := &server{answer: func(_ int, call platform.Call) (*platform.Reply, error) {
+	breaks := &server{answer: func(int, provider.Call) (*provider.Reply, error) { return body(events(0, 3)), nil }}
+	resumes := &server{answer: func(_ int, call provider.Call) (*provider.Reply, error) {
 		if !bytes.Contains(call.Body, []byte(`"sesame_resume_after":3`)) {
 			return body(events(0, 6) + done), nil
 		}
@@ -315,7 +315,7 @@
 }
 
 func TestBrokenStreamEndsInAnErrorEvent(t *testing.T) {
-	breaks := &server{answer: func(int, platform.Call) (*platform.Reply, error) { return body(events(0, 3)), nil }}
+	breaks := &server{answer: func(int, provider.Call) (*provider.Reply, error) { return body(events(0, 3)), nil }}
 	b := newBench(t, manifestText(""), breaks)
 	w := b.do(0, http.MethodPost, "/v1/chat/completions", streamBody)
 	got := w.Body.String()
@@ -325,7 +325,7 @@
 }
 
 func TestKeyThroughTwoEntriesAtOnceRunsOnce(t *testing.T) {
-	s := &server{answer: func(n int, _ platform.Call) (*platform.Reply, error) { return body(fmt.Sprint("run ", n)), nil }}
+	s := &server{answer: func(n int, _ provider.Call) (*provider.Reply, error) { return body(fmt.Sprint("run ", n)), nil }}
 	b := newBench(t, manifestText(""), s)
 	key := b.mint(t)
 	var answers [8]string
@@ -342,7 +342,7 @@
 }
 
 func TestKeySurvivesALostReply(t *testing.T) {
-	s := &server{answer: func(n int, _ platform.Call) (*platform.Reply, error) { return body(fmt.Sprint("run ", n)), nil }}
+	s := &server{answer: func(n int, _ provider.Call) (*provider.Reply, error) { return body(fmt.Sprint("run ", n)), nil }}
 	for _, method := range []string{agentapi.MethodSubmit, agentapi.MethodRead} {
 		b := newBench(t, manifestText(""), s)
 		key := b.mint(t)
@@ -363,7 +363,7 @@
 }
 
 func TestKeyOfAnAgentThatIsGoneIsUnknown(t *testing.T) {
-	s := &server{answer: func(int, platform.Call) (*platform.Reply, error) { return body("x"), nil }}
+	s := &server{answer: func(int, provider.Call) (*provider.Reply, error) { return body("x"), nil }}
 	gone, stays := newBench(t, manifestText(""), s, s), newBench(t, manifestText(""), s)
 	for range 8 {
 		key := gone.mint(t)
@@ -375,7 +375,7 @@
 }
 
 func TestRefusalIsNotRunOnlyIfNothingRan(t *testing.T) {
-	fails := &server{answer: func(int, platform.Call) (*platform.Reply, error) { return nil, eris.New("reset") }}
+	fails := &server{answer: func(int, provider.Call) (*provider.Reply, error) { return nil, eris.New("reset") }}
 	b := newBench(t, manifestText(""), fails, fails)
 	b.agents[1].Leave()
 	for range 3 {
@@ -393,7 +393,7 @@
 
 // TestRetryStormIsBounded lets callers repeat at once what fails everywhere.
 func TestRetryStormIsBounded(t *testing.T) {
-	fails := &server{answer: func(int, platform.Call) (*platform.Reply, error) { return nil, eris.New("reset") }}
+	fails := &server{answer: func(int, provider.Call) (*provider.Reply, error) { return nil, eris.New("reset") }}
 	b := newBench(t, manifestText(""), fails, fails, fails)
 	const requests = 500
 	for range requests {
@@ -408,7 +408,7 @@
 }
 
 func TestLimitSealsAKeyInsteadOfGuessing(t *testing.T) {
-	s := &server{answer: func(n int, _ platform.Call) (*platform.Reply, error) { return body(fmt.Sprint("run ", n)), nil }}
+	s := &server{answer: func(n int, _ provider.Call) (*provider.Reply, error) { return body(fmt.Sprint("run ", n)), nil }}
 	b := newBench(t, manifestText(", requests_per_second: 0.001, burst: 2"), s)
 	ran, fresh := b.mint(t), b.mint(t)
 	if w := b.pay(0, ran, "{}"); outcomeOf(w) != outcome.Completed {
@@ -426,7 +426,7 @@
 }
 
 func TestBadInput(t *testing.T) {
-	s := &server{answer: func(int, platform.Call) (*platform.Reply, error) { return body("x"), nil }}
+	s := &server{answer: func(int, provider.Call) (*provider.Reply, error) { return body("x"), nil }}
 	b := newBench(t, manifestText(""), s)
 	const chat, pay, get = "/v1/chat/completions", "/v1/services/booking/payments", "/v1/services/booking/catalogue"
 	const post = http.MethodPost
@@ -479,7 +479,7 @@
 }
 
 func TestKeyOfAnotherAccountOrBody(t *testing.T) {
-	s := &server{answer: func(int, platform.Call) (*platform.Reply, error) { return body("x"), nil }}
+	s := &server{answer: func(int, provider.Call) (*provider.Reply, error) { return body("x"), nil }}
 	b := newBench(t, manifestText(""), s)
 	key := b.mint(t)
 	if w := b.pay(0, key, `{"amount":1}`); outcomeOf(w) != outcome.Completed {
--- a/membership/elect.go
+++ b/membership/elect.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // weight is the rendezvous weight of a VM for a purpose and an epoch.
@@ -24,9 +24,9 @@
 // Elect returns the n VMs with the highest rendezvous weight for a purpose
 // and an epoch. Processes with the same list elect alike; with different
 // lists they differ only by the VMs that the lists differ in.
-func Elect(vms []platform.VM, purpose string, epoch uint64, n int) []platform.VM {
+func Elect(vms []provider.VM, purpose string, epoch uint64, n int) []provider.VM {
 	type candidate struct {
-		vm     platform.VM
+		vm     provider.VM
 		weight uint64
 	}
 	best := make([]candidate, 0, n+1)
@@ -46,7 +46,7 @@
 			best = best[:n]
 		}
 	}
-	elected := make([]platform.VM, len(best))
+	elected := make([]provider.VM, len(best))
 	for i, c := range best {
 		elected[i] = c.vm
 	}
@@ -56,10 +56,10 @@
 // OnDuty reports whether self is among the n VMs that its data centre elects
 // for a purpose and an epoch. Leaving VMs are not elected. When the list
 // names no candidate in the data centre, everyone there is on duty.
-func OnDuty(self platform.VM, vms []platform.VM, purpose string, epoch uint64, n int) bool {
-	var candidates []platform.VM
+func OnDuty(self provider.VM, vms []provider.VM, purpose string, epoch uint64, n int) bool {
+	var candidates []provider.VM
 	for _, vm := range vms {
-		if vm.DataCentre == self.DataCentre && vm.State != platform.VMLeaving {
+		if vm.DataCentre == self.DataCentre && vm.State != provider.VMLeaving {
 			candidates = append(candidates, vm)
 		}
 	}
@@ -80,12 +80,12 @@
 // that each VM is the neighbour of at least one other; the choice of the rest
 // differs from VM to VM, so that a version needs few hops to all of them. When
 // there are too few of one kind, the other fills the places.
-func Neighbours(self platform.VM, vms []platform.VM, epoch uint64, local, remote int) []platform.VM {
+func Neighbours(self provider.VM, vms []provider.VM, epoch uint64, local, remote int) []provider.VM {
 	next, ok := successor(self, vms, epoch)
 	if !ok {
 		return nil
 	}
-	var near, far []platform.VM
+	var near, far []provider.VM
 	for _, vm := range vms {
 		switch {
 		case isSelf(self, vm) || vm.Name == next.Name:
@@ -101,16 +101,16 @@
 	far = Elect(far, purpose, epoch, total)
 	nearShare := min(len(near), max(local, total-len(far)))
 	farShare := min(len(far), total-nearShare)
-	list := append([]platform.VM{next}, near[:nearShare]...)
+	list := append([]provider.VM{next}, near[:nearShare]...)
 	return append(list, far[:farShare]...)
 }
 
 // successor returns the VM that follows self on the ring of an epoch, and
 // false when there is no other.
-func successor(self platform.VM, vms []platform.VM, epoch uint64) (platform.VM, bool) {
+func successor(self provider.VM, vms []provider.VM, epoch uint64) (provider.VM, bool) {
 	const ring = "ring"
 	own := weight(ring, epoch, self.Name)
-	var next platform.VM
+	var next provider.VM
 	var nextDistance uint64
 	for _, vm := range vms {
 		if isSelf(self, vm) {
@@ -125,6 +125,6 @@
 	return next, next.Name != ""
 }
 
-func isSelf(self, vm platform.VM) bool {
+func isSelf(self, vm provider.VM) bool {
 	return vm.Name == self.Name || vm.Address == self.Address
 }
--- a/membership/pull.go
+++ b/membership/pull.go
@@ -9,11 +9,11 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/sesameswitch/sesameswitch/configsync/delta"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // encode writes a list so that equal lists give equal bytes.
-func encode(vms []platform.VM) (*delta.Indexed, error) {
+func encode(vms []provider.VM) (*delta.Indexed, error) {
 	sorted := slices.Clone(vms)
 	sortByName(sorted)
 	var body bytes.Buffer
@@ -27,11 +27,11 @@
 }
 
 // decode reads what encode wrote.
-func decode(body []byte) ([]platform.VM, error) {
-	var vms []platform.VM
+func decode(body []byte) ([]provider.VM, error) {
+	var vms []provider.VM
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	for decoder.More() {
-		var vm platform.VM
+		var vm provider.VM
 		if err := decoder.Decode(&vm); err != nil {
 			return nil, eris.Wrap(err, "membership: decode list")
 		}
--- a/membership/table.go
+++ b/membership/table.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/clock"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // Limits on how fast the table may shrink.
@@ -31,17 +31,17 @@
 
 // snapshot is one state of the table. It is immutable.
 type snapshot struct {
-	vms     []platform.VM
-	agents  []platform.VM
-	entries []platform.VM
-	byName  map[string]platform.VM
+	vms     []provider.VM
+	agents  []provider.VM
+	entries []provider.VM
+	byName  map[string]provider.VM
 	readAt  time.Time
 }
 
 // Table holds the present list of VMs. It is safe for concurrent use; reads
 // take no lock.
 type Table struct {
-	self    platform.VM
+	self    provider.VM
 	clock   clock.Clock
 	current atomic.Pointer[snapshot]
 
@@ -54,20 +54,20 @@
 }
 
 // NewTable returns a table that knows only its own VM.
-func NewTable(self platform.VM, c clock.Clock) *Table {
+func NewTable(self provider.VM, c clock.Clock) *Table {
 	t := &Table{self: self, clock: c, changed: make(chan struct{})}
 	t.current.Store(newSnapshot(nil, time.Time{}))
 	return t
 }
 
-func newSnapshot(vms []platform.VM, readAt time.Time) *snapshot {
-	s := &snapshot{vms: vms, byName: make(map[string]platform.VM, len(vms)), readAt: readAt}
+func newSnapshot(vms []provider.VM, readAt time.Time) *snapshot {
+	s := &snapshot{vms: vms, byName: make(map[string]provider.VM, len(vms)), readAt: readAt}
 	for _, vm := range vms {
 		s.byName[vm.Name] = vm
 		switch vm.Role {
-		case platform.RoleAgent:
+		case provider.RoleAgent:
 			s.agents = append(s.agents, vm)
-		case platform.RoleEntry:
+		case provider.RoleEntry:
 			s.entries = append(s.entries, vm)
 		}
 	}
@@ -75,14 +75,14 @@
 }
 
 // Apply takes a list that was read from the platform just now.
-func (t *Table) Apply(vms []platform.VM) {
+func (t *Table) Apply(vms []provider.VM) {
 	t.ApplyAt(vms, t.clock.Now())
 }
 
 // ApplyAt takes a list that the platform gave out at readAt, by this
 // process's clock. A list read earlier than the table's is left out; ApplyAt
 // then returns false.
-func (t *Table) ApplyAt(vms []platform.VM, readAt time.Time) bool {
+func (t *Table) ApplyAt(vms []provider.VM, readAt time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.current.Load()
@@ -99,14 +99,14 @@
 }
 
 // normalise sorts the list by name and keeps the last entry of each name.
-func normalise(vms []platform.VM) []platform.VM {
-	byName := make(map[string]platform.VM, len(vms))
+func normalise(vms []provider.VM) []provider.VM {
+	byName := make(map[string]provider.VM, len(vms))
 	for _, vm := range vms {
 		if vm.Name != "" && vm.Address != "" {
 			byName[vm.Name] = vm
 		}
 	}
-	list := make([]platform.VM, 0, len(byName))
+	list := make([]provider.VM, 0, len(byName))
 	for _, vm := range byName {
 		list = append(list, vm)
 	}
@@ -114,22 +114,22 @@
 	return list
 }
 
-func sortByName(list []platform.VM) {
-	slices.SortFunc(list, func(a, b platform.VM) int { return strings.Compare(a.Name, b.Name) })
+func sortByName(list []provider.VM) {
+	slices.SortFunc(list, func(a, b provider.VM) int { return strings.Compare(a.Name, b.Name) })
 }
 
 // merge returns the list to use after a read: the new one, with VMs that
 // were leaving kept so, and with missing VMs kept while the loss is
 // implausible.
-func (t *Table) merge(now *snapshot, vms []platform.VM, readAt time.Time) []platform.VM {
+func (t *Table) merge(now *snapshot, vms []provider.VM, readAt time.Time) []provider.VM {
 	present := make(map[string]bool, len(vms))
 	for i := range vms {
 		present[vms[i].Name] = true
 		if before, ok := now.byName[vms[i].Name]; ok && sameLeaving(before, vms[i]) {
-			vms[i].State = platform.VMLeaving
+			vms[i].State = provider.VMLeaving
 		}
 	}
-	var missing []platform.VM
+	var missing []provider.VM
 	for _, vm := range now.vms {
 		if !present[vm.Name] {
 			missing = append(missing, vm)
@@ -146,8 +146,8 @@
 
 // sameLeaving reports whether the VM was seen leaving under the same address
 // before. Another process at the name is a new VM.
-func sameLeaving(before, after platform.VM) bool {
-	return before.State == platform.VMLeaving && before.Address == after.Address
+func sameLeaving(before, after provider.VM) bool {
+	return before.State == provider.VMLeaving && before.Address == after.Address
 }
 
 // plausible reports whether the loss of missing out of total VMs may be
@@ -171,27 +171,27 @@
 }
 
 // VMs returns all VMs, sorted by name. The caller must not change the slice.
-func (t *Table) VMs() []platform.VM { return t.current.Load().vms }
+func (t *Table) VMs() []provider.VM { return t.current.Load().vms }
 
 // Agents returns the VMs that run an agent. The caller must not change it.
-func (t *Table) Agents() []platform.VM { return t.current.Load().agents }
+func (t *Table) Agents() []provider.VM { return t.current.Load().agents }
 
 // Entries returns the VMs that run an entry. The caller must not change it.
-func (t *Table) Entries() []platform.VM { return t.current.Load().entries }
+func (t *Table) Entries() []provider.VM { return t.current.Load().entries }
 
 // Get returns the VM by name.
-func (t *Table) Get(name string) (platform.VM, bool) {
+func (t *Table) Get(name string) (provider.VM, bool) {
 	vm, ok := t.current.Load().byName[name]
 	return vm, ok
 }
 
 // Self returns this process's own VM, as its settings say.
-func (t *Table) Self() platform.VM { return t.self }
+func (t *Table) Self() provider.VM { return t.self }
 
 // SelfLeaving reports whether the platform says that this VM is leaving.
 func (t *Table) SelfLeaving() bool {
 	vm, ok := t.Get(t.self.Name)
-	return ok && vm.Address == t.self.Address && vm.State == platform.VMLeaving
+	return ok && vm.Address == t.self.Address && vm.State == provider.VMLeaving
 }
 
 // Changed returns a channel that is closed at the next change of the list.
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -6,30 +6,30 @@
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/clock"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 var testStart = time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
 
 // fleet returns n live VMs, one in three an entry, over dcs data centres.
-func fleet(n, dcs int) []platform.VM {
-	vms := make([]platform.VM, n)
+func fleet(n, dcs int) []provider.VM {
+	vms := make([]provider.VM, n)
 	for i := range vms {
-		vms[i] = platform.VM{
+		vms[i] = provider.VM{
 			Name:       fmt.Sprintf("vm-%04d", i),
 			Address:    fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
 			DataCentre: fmt.Sprintf("dc-%d", i%dcs),
-			Role:       platform.RoleAgent,
-			State:      platform.VMLive,
+			Role:       provider.RoleAgent,
+			State:      provider.VMLive,
 		}
 		if i%3 == 0 {
-			vms[i].Role = platform.RoleEntry
+			vms[i].Role = provider.RoleEntry
 		}
 	}
 	return vms
 }
 
-func newTable(vms []platform.VM) (*Table, *clock.Manual) {
+func newTable(vms []provider.VM) (*Table, *clock.Manual) {
 	c := clock.NewManual(testStart)
 	table := NewTable(vms[0], c)
 	table.Apply(vms)
@@ -72,7 +72,7 @@
 	vms := fleet(6, 2)
 	table, _ := newTable(vms)
 	leaving := fleet(6, 2)
-	leaving[0].State = platform.VMLeaving
+	leaving[0].State = provider.VMLeaving
 	table.Apply(leaving)
 	if !table.SelfLeaving() {
 		t.Fatal("leaving was not seen")
@@ -93,12 +93,12 @@
 
 func TestReplacedVMIsNotLeaving(t *testing.T) {
 	vms := fleet(6, 2)
-	vms[3].State = platform.VMLeaving
+	vms[3].State = provider.VMLeaving
 	table, _ := newTable(vms)
 	next := fleet(6, 2)
 	next[3].Address = "10.9.9.9:7000"
 	table.Apply(next)
-	if vm, _ := table.Get("vm-0003"); vm.State != platform.VMLive {
+	if vm, _ := table.Get("vm-0003"); vm.State != provider.VMLive {
 		t.Fatalf("the replacement is %s", vm.State)
 	}
 }
@@ -107,7 +107,7 @@
 	vms := fleet(30, 3)
 	cases := []struct {
 		name string
-		list []platform.VM
+		list []provider.VM
 		// at once and after the hold
 		first, later int
 	}{
@@ -163,7 +163,7 @@
 	vms := fleet(200, 1)
 	before := Elect(vms, "p", 7, 3)
 	for i, vm := range vms {
-		rest := append(append([]platform.VM{}, vms[:i]...), vms[i+1:]...)
+		rest := append(append([]provider.VM{}, vms[:i]...), vms[i+1:]...)
 		after := Elect(rest, "p", 7, 3)
 		wasElected := vm == before[0] || vm == before[1] || vm == before[2]
 		if same := fmt.Sprint(after) == fmt.Sprint(before); same == wasElected {
@@ -199,13 +199,13 @@
 // also when a data centre is gone, and that no VM has many.
 func TestNeighboursJoinAllVMs(t *testing.T) {
 	all := fleet(300, 10)
-	withoutOne := make([]platform.VM, 0, len(all))
+	withoutOne := make([]provider.VM, 0, len(all))
 	for _, vm := range all {
 		if vm.DataCentre != "dc-4" {
 			withoutOne = append(withoutOne, vm)
 		}
 	}
-	for _, vms := range [][]platform.VM{all, withoutOne, fleet(17, 4), fleet(3, 3), fleet(2, 1)} {
+	for _, vms := range [][]provider.VM{all, withoutOne, fleet(17, 4), fleet(3, 3), fleet(2, 1)} {
 		for epoch := range uint64(2) {
 			checkGraph(t, vms, epoch)
 		}
@@ -214,7 +214,7 @@
 
 // TestEveryVMIsANeighbour checks that each VM is told of versions by another.
 func TestEveryVMIsANeighbour(t *testing.T) {
-	for _, vms := range [][]platform.VM{fleet(300, 10), fleet(17, 4), fleet(2, 1)} {
+	for _, vms := range [][]provider.VM{fleet(300, 10), fleet(17, 4), fleet(2, 1)} {
 		for epoch := range uint64(3) {
 			told := map[string]bool{}
 			for _, vm := range vms {
@@ -233,7 +233,7 @@
 	}
 }
 
-func checkGraph(t *testing.T, vms []platform.VM, epoch uint64) {
+func checkGraph(t *testing.T, vms []provider.VM, epoch uint64) {
 	t.Helper()
 	links := map[string][]string{}
 	for _, vm := range vms {
--- a/membership/watcher.go
+++ b/membership/watcher.go
@@ -8,7 +8,7 @@
 
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/configsync/delta"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // Caller carries one net/rpc call to the process at an address. The context
@@ -71,7 +71,7 @@
 type WatcherConfig struct {
 	Table *Table
 	// Source is the platform's list; nil means that there is none.
-	Source platform.VMList
+	Source provider.VMList
 	Caller Caller
 	Clock  clock.Clock
 	// Rand decides on jitter and on the peers asked. The Watcher owns it.
@@ -93,7 +93,7 @@
 
 // listing is a list as the platform gave it. It is immutable.
 type listing struct {
-	vms      []platform.VM
+	vms      []provider.VM
 	document *delta.Indexed
 	readAt   time.Time
 }
@@ -234,19 +234,19 @@
 }
 
 // candidates returns a reader of the own data centre and any other process.
-func (w *Watcher) candidates() []platform.VM {
+func (w *Watcher) candidates() []provider.VM {
 	self := w.cfg.Table.Self()
-	var local, others []platform.VM
+	var local, others []provider.VM
 	for _, vm := range w.cfg.Table.VMs() {
 		if vm.Name == self.Name || vm.Address == self.Address {
 			continue
 		}
 		others = append(others, vm)
-		if vm.DataCentre == self.DataCentre && vm.State != platform.VMLeaving {
+		if vm.DataCentre == self.DataCentre && vm.State != provider.VMLeaving {
 			local = append(local, vm)
 		}
 	}
-	var chosen []platform.VM
+	var chosen []provider.VM
 	if readers := Elect(local, dutyPurpose, w.epoch(), ReadersPerDataCentre); len(readers) > 0 {
 		chosen = append(chosen, readers[w.cfg.Rand.IntN(len(readers))])
 	}
--- a/membership/watcher_test.go
+++ b/membership/watcher_test.go
@@ -9,17 +9,17 @@
 
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/configsync/memnet"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // fakePlatform answers with a list or an error and counts the reads.
 type fakePlatform struct {
-	vms   []platform.VM
+	vms   []provider.VM
 	err   error
 	reads int
 }
 
-func (p *fakePlatform) List(context.Context) ([]platform.VM, error) {
+func (p *fakePlatform) List(context.Context) ([]provider.VM, error) {
 	p.reads++
 	return p.vms, p.err
 }
@@ -31,7 +31,7 @@
 	watchers []*Watcher
 }
 
-func newGroup(t *testing.T, vms []platform.VM) *group {
+func newGroup(t *testing.T, vms []provider.VM) *group {
 	g := &group{
 		clock:    clock.NewManual(testStart),
 		platform: &fakePlatform{vms: vms},
@@ -91,12 +91,12 @@
 	g := newGroup(t, fleet(30, 3))
 	g.round(t)
 	next := fleet(30, 3)
-	next[7].State = platform.VMLeaving
+	next[7].State = provider.VMLeaving
 	g.platform.vms = next
 	g.round(t)
 	g.round(t)
 	for _, w := range g.watchers {
-		if vm, _ := w.cfg.Table.Get("vm-0007"); vm.State != platform.VMLeaving {
+		if vm, _ := w.cfg.Table.Get("vm-0007"); vm.State != provider.VMLeaving {
 			t.Fatalf("%s sees it as %s", w.cfg.Table.Self().Name, vm.State)
 		}
 	}
@@ -132,7 +132,7 @@
 	g.platform.err = errors.New("down")
 	started := g.watchers[4]
 	started.cfg.Table = NewTable(vms[4], g.clock)
-	started.cfg.Table.Apply([]platform.VM{vms[0]})
+	started.cfg.Table.Apply([]provider.VM{vms[0]})
 	started.current.Store(nil)
 	g.clock.Advance(time.Second)
 	started.Refresh(t.Context())
--- a/node/duties.go
+++ b/node/duties.go
@@ -11,7 +11,7 @@
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/configsync"
 	"github.com/sesameswitch/sesameswitch/membership"
-	"github.com/sesameswitch/sesameswitch/platform/httpplatform"
+	"github.com/sesameswitch/sesameswitch/provider/httpprovider"
 )
 
 const (
@@ -45,12 +45,12 @@
 		clock:   n.Clock,
 		syncer: configsync.NewSyncer(configsync.SyncerConfig{
 			Store:   n.Configuration,
-			Source:  httpplatform.NewConfigSource(n.Settings.ConfigURL, n.Settings.ConfigKey),
+			Source:  httpprovider.NewConfigSource(n.Settings.ConfigURL, n.Settings.ConfigKey),
 			Members: n.Members, Caller: n.Peers, Clock: n.Clock,
 			Rand: newRand(), Timing: configsync.DefaultTiming(),
 		}),
 		watcher: membership.NewWatcher(membership.WatcherConfig{
-			Table: n.Members, Source: httpplatform.NewVMList(n.Settings.VMListURL),
+			Table: n.Members, Source: httpprovider.NewVMList(n.Settings.VMListURL),
 			Caller: n.Peers, Clock: n.Clock,
 			Rand: newRand(), Timing: membership.DefaultTiming(),
 		}),
--- a/node/node.go
+++ b/node/node.go
@@ -15,8 +15,8 @@
 	"github.com/sesameswitch/sesameswitch/configsync"
 	"github.com/sesameswitch/sesameswitch/membership"
 	"github.com/sesameswitch/sesameswitch/peer"
-	"github.com/sesameswitch/sesameswitch/platform"
 	"github.com/sesameswitch/sesameswitch/processstatus"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/statechart"
 	"github.com/sesameswitch/sesameswitch/telemetry"
 	"github.com/sesameswitch/sesameswitch/timeline"
@@ -25,7 +25,7 @@
 // Node is one process of the system.
 type Node struct {
 	Settings      Settings
-	Self          platform.VM
+	Self          provider.VM
 	Clock         clock.Clock
 	Log           *logrus.Logger
 	Metrics       *telemetry.Metrics
@@ -47,7 +47,7 @@
 
 // Identity names the process for its events and its peers.
 type Identity struct {
-	Role        platform.Role
+	Role        provider.Role
 	Incarnation string
 	// Address is the address of the process's peer listener.
 	Address string
@@ -59,9 +59,9 @@
 	process := timeline.Process{VM: s.VM, Role: string(id.Role), DataCentre: s.DataCentre, Incarnation: id.Incarnation}
 	n := &Node{
 		Settings: s,
-		Self: platform.VM{
+		Self: provider.VM{
 			Name: s.VM, Address: id.Address, DataCentre: s.DataCentre,
-			Region: s.Region, Role: id.Role, State: platform.VMLive,
+			Region: s.Region, Role: id.Role, State: provider.VMLive,
 		},
 		Clock:      c,
 		Log:        log,
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/sesameswitch/sesameswitch/platform"
 	"github.com/sesameswitch/sesameswitch/processstatus"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // role is a daemon whose readiness and idleness the test decides.
@@ -45,7 +45,7 @@
 		VM: "vm-1", DataCentre: "dc-1", AdminListen: "127.0.0.1:0", DrainTimeout: 1 << 40,
 		ConfigURL: "http://127.0.0.1:1", VMListURL: "http://127.0.0.1:1", TimelineEvents: 64,
 	}
-	n := New(s, Identity{Role: platform.RoleAgent, Incarnation: "life-1", Address: l.Addr().String()}, log)
+	n := New(s, Identity{Role: provider.RoleAgent, Incarnation: "life-1", Address: l.Addr().String()}, log)
 	ended := make(chan error, 1)
 	listening, announce := io.Pipe()
 	go func() { ended <- n.Run(r, l, announce) }()
--- a/prove/cluster.go
+++ b/prove/cluster.go
@@ -15,7 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/sesameswitch/sesameswitch/history"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/timeline"
 )
 
@@ -30,7 +30,7 @@
 // member is a process of the system under test.
 type member struct {
 	process
-	vm    platform.VM
+	vm    provider.VM
 	admin string
 	// callers is the address for callers, of entries only.
 	callers string
@@ -178,7 +178,7 @@
 
 // newMember returns a member with free addresses and the flags that all
 // members have.
-func (c *cluster) newMember(name, program string, role platform.Role) (*member, string, error) {
+func (c *cluster) newMember(name, program string, role provider.Role) (*member, string, error) {
 	admin, err := testbed.FreeAddress()
 	if err != nil {
 		return nil, "", err
@@ -189,7 +189,7 @@
 	}
 	m := &member{
 		process: process{name: name, path: filepath.Join(c.opts.Bin, program), env: c.opts.Environment},
-		vm:      platform.VM{Name: name, Address: peers, DataCentre: "dc-1", Role: role, State: platform.VMLive},
+		vm:      provider.VM{Name: name, Address: peers, DataCentre: "dc-1", Role: role, State: provider.VMLive},
 		admin:   admin,
 	}
 	m.args = []string{
@@ -201,7 +201,7 @@
 }
 
 func (c *cluster) newAgent(name, backend string) (*member, error) {
-	m, peers, err := c.newMember(name, "sesame-agent", platform.RoleAgent)
+	m, peers, err := c.newMember(name, "sesame-agent", provider.RoleAgent)
 	if err != nil {
 		return nil, err
 	}
@@ -219,7 +219,7 @@
 }
 
 func (c *cluster) newEntry(name string) (*member, error) {
-	m, peers, err := c.newMember(name, "sesame-entry", platform.RoleEntry)
+	m, peers, err := c.newMember(name, "sesame-entry", provider.RoleEntry)
 	if err != nil {
 		return nil, err
 	}
@@ -295,7 +295,7 @@
 // putVMs makes the list of VMs tell the present members and states, but for
 // those left out.
 func (c *cluster) putVMs(leftOut ...*member) error {
-	var vms []platform.VM
+	var vms []provider.VM
 	for _, m := range c.members() {
 		if !slices.Contains(leftOut, m) {
 			vms = append(vms, m.vm)
--- a/prove/fault.go
+++ b/prove/fault.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/standin/config"
 	"github.com/sesameswitch/sesameswitch/standin/engine"
 	"github.com/sesameswitch/sesameswitch/standin/service"
@@ -265,13 +265,13 @@
 	m := pick(rng, c.agents)
 	release := c.claim(m)
 	defer release()
-	m.vm.State = platform.VMLeaving
+	m.vm.State = provider.VMLeaving
 	c.note("list says that " + m.name + " leaves")
 	if err := c.putVMs(); err != nil {
 		return err
 	}
 	time.Sleep(lasting)
-	m.vm.State = platform.VMLive
+	m.vm.State = provider.VMLive
 	if err := c.replace(m, 0); err != nil {
 		return err
 	}
--- a/platform/httpplatform/backend.go
+++ b/provider/httpprovider/backend.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpprovider
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // NotSentError reports that a call failed before any byte of it was written:
@@ -52,7 +52,7 @@
 	fresh  *http.Transport
 }
 
-var _ platform.BackendServer = (*BackendServer)(nil)
+var _ provider.BackendServer = (*BackendServer)(nil)
 
 // NewBackendServer returns a client of the backend server at baseURL.
 func NewBackendServer(baseURL string) *BackendServer {
@@ -66,7 +66,7 @@
 // Do sends the call once and returns the head of the answer. The answer's
 // body ends with an error when the connection breaks before its announced
 // length. Redirects are returned as they are.
-func (b *BackendServer) Do(ctx context.Context, call platform.Call) (*platform.Reply, error) {
+func (b *BackendServer) Do(ctx context.Context, call provider.Call) (*provider.Reply, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -85,14 +85,14 @@
 	return nil, eris.Wrapf(err, "%s %s", call.Method, call.Path)
 }
 
-func (b *BackendServer) transport(call platform.Call) *http.Transport {
+func (b *BackendServer) transport(call provider.Call) *http.Transport {
 	if call.Repeatable {
 		return b.pooled
 	}
 	return b.fresh
 }
 
-func (b *BackendServer) request(ctx context.Context, call platform.Call) (*http.Request, error) {
+func (b *BackendServer) request(ctx context.Context, call provider.Call) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, b.base+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, err
@@ -108,14 +108,14 @@
 	return request, nil
 }
 
-func reply(response *http.Response) *platform.Reply {
+func reply(response *http.Response) *provider.Reply {
 	header := make(map[string]string, len(response.Header))
 	for name, values := range response.Header {
 		if !hopHeaders[name] {
 			header[name] = strings.Join(values, ", ")
 		}
 	}
-	return &platform.Reply{
+	return &provider.Reply{
 		Status: response.StatusCode,
 		Header: header,
 		Length: response.ContentLength,
--- a/platform/httpplatform/config.go
+++ b/provider/httpprovider/config.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpprovider
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 const (
@@ -30,7 +30,7 @@
 	client *http.Client
 }
 
-var _ platform.ConfigSource = (*ConfigSource)(nil)
+var _ provider.ConfigSource = (*ConfigSource)(nil)
 
 // NewConfigSource returns a reader of the key at the configuration service.
 func NewConfigSource(baseURL, key string) *ConfigSource {
@@ -42,20 +42,20 @@
 
 // Read returns the present document. Of a document over MaxDocumentBytes it
 // returns MaxDocumentBytes+1 bytes, which no manifest parser accepts.
-func (c *ConfigSource) Read(ctx context.Context) (platform.Document, error) {
+func (c *ConfigSource) Read(ctx context.Context) (provider.Document, error) {
 	doc, _, err := c.fetch(ctx, c.url)
 	return doc, eris.Wrap(err, "read configuration")
 }
 
 // Watch waits until the revision differs from after, the service ends the
 // wait (changed is false), or the context ends.
-func (c *ConfigSource) Watch(ctx context.Context, after uint64) (platform.Document, bool, error) {
+func (c *ConfigSource) Watch(ctx context.Context, after uint64) (provider.Document, bool, error) {
 	watchURL := fmt.Sprintf("%s?after=%d&wait=%s", c.url, after, watchWait)
 	doc, changed, err := c.fetch(ctx, watchURL)
 	return doc, changed && doc.Revision != after, eris.Wrap(err, "watch configuration")
 }
 
-func (c *ConfigSource) fetch(ctx context.Context, fetchURL string) (doc platform.Document, changed bool, err error) {
+func (c *ConfigSource) fetch(ctx context.Context, fetchURL string) (doc provider.Document, changed bool, err error) {
 	response, err := get(ctx, c.client, fetchURL)
 	if err != nil {
 		return doc, false, err
@@ -76,5 +76,5 @@
 	if err != nil {
 		return doc, false, err
 	}
-	return platform.Document{Revision: revision, Body: body}, true, nil
+	return provider.Document{Revision: revision, Body: body}, true, nil
 }
--- a/platform/httpplatform/engine.go
+++ b/provider/httpprovider/engine.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpprovider
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // maxReportBytes bounds load reports and answers to orders.
@@ -32,7 +32,7 @@
 	client *http.Client
 }
 
-var _ platform.Engine = (*Engine)(nil)
+var _ provider.Engine = (*Engine)(nil)
 
 // NewEngine returns a client of the model engine at baseURL.
 func NewEngine(baseURL string) *Engine {
@@ -40,8 +40,8 @@
 }
 
 // Load returns the engine's load report.
-func (e *Engine) Load(ctx context.Context) (platform.LoadReport, error) {
-	var report platform.LoadReport
+func (e *Engine) Load(ctx context.Context) (provider.LoadReport, error) {
+	var report provider.LoadReport
 	err := getJSON(ctx, e.client, e.base+"/load", maxReportBytes, &report)
 	return report, eris.Wrap(err, "load report")
 }
@@ -49,12 +49,12 @@
 // Order gives the engine an order. A *StaleFenceError says that the engine
 // refused its fence; after any other error but *NotSentError the order may
 // have been carried out.
-func (e *Engine) Order(ctx context.Context, order platform.Order) error {
+func (e *Engine) Order(ctx context.Context, order provider.Order) error {
 	body, err := json.Marshal(order)
 	if err != nil {
 		return &NotSentError{Cause: err}
 	}
-	reply, err := e.Do(ctx, platform.Call{
+	reply, err := e.Do(ctx, provider.Call{
 		Method: http.MethodPost,
 		Path:   "/orders",
 		Header: map[string]string{"Content-Type": "application/json"},
@@ -74,7 +74,7 @@
 }
 
 // excerpt returns the start of a body, for an error message.
-func excerpt(body platform.ReadCloser) string {
+func excerpt(body provider.ReadCloser) string {
 	data := make([]byte, 256)
 	n, _ := body.Read(data)
 	return string(bytes.TrimSpace(data[:n]))
--- a/platform/httpplatform/platform_test.go
+++ b/provider/httpprovider/platform_test.go
@@ -1,4 +1,4 @@
-package httpplatform_test
+package httpprovider_test
 
 import (
 	"bytes"
@@ -9,20 +9,20 @@
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/clock"
-	"github.com/sesameswitch/sesameswitch/platform"
-	"github.com/sesameswitch/sesameswitch/platform/httpplatform"
+	"github.com/sesameswitch/sesameswitch/provider"
+	"github.com/sesameswitch/sesameswitch/provider/httpprovider"
 	"github.com/sesameswitch/sesameswitch/standin/config"
 	"github.com/sesameswitch/sesameswitch/standin/engine"
 	"github.com/sesameswitch/sesameswitch/standin/vmlist"
 	"github.com/sesameswitch/sesameswitch/standin/weights"
 )
 
-func newConfig(t *testing.T) (*config.Server, *httpplatform.ConfigSource) {
+func newConfig(t *testing.T) (*config.Server, *httpprovider.ConfigSource) {
 	t.Helper()
 	service := config.New()
 	server := httptest.NewServer(service)
 	t.Cleanup(server.Close)
-	return service, httpplatform.NewConfigSource(server.URL, "manifest")
+	return service, httpprovider.NewConfigSource(server.URL, "manifest")
 }
 
 func TestConfigReadAndWatch(t *testing.T) {
@@ -36,11 +36,11 @@
 	if err != nil || doc.Revision != 1 || string(doc.Body) != "one" {
 		t.Fatalf("read %+v, %v", doc, err)
 	}
-	watched := make(chan platform.Document)
+	watched := make(chan provider.Document)
 	go func() {
 		next, changed, err := source.Watch(ctx, 1)
 		if err != nil || !changed {
-			next = platform.Document{}
+			next = provider.Document{}
 		}
 		watched <- next
 	}()
@@ -70,7 +70,7 @@
 		{"stale", config.Faults{StaleRevision: 1}, false, len("first")},
 		{"half", config.Faults{Half: true}, false, len(body) / 2},
 		{"truncated", config.Faults{Truncated: true}, true, 0},
-		{"oversize", config.Faults{Oversize: true}, false, httpplatform.MaxDocumentBytes + 1},
+		{"oversize", config.Faults{Oversize: true}, false, httpprovider.MaxDocumentBytes + 1},
 	}
 	for _, c := range cases {
 		service.SetFaults(c.faults)
@@ -92,12 +92,12 @@
 	stand := vmlist.New(manual)
 	server := httptest.NewServer(stand)
 	defer server.Close()
-	list := httpplatform.NewVMList(server.URL)
+	list := httpprovider.NewVMList(server.URL)
 	stand.SetFaults(vmlist.Faults{LagMillis: 1_000})
-	stand.Set([]platform.VM{{Name: "a", State: platform.VMLive}})
+	stand.Set([]provider.VM{{Name: "a", State: provider.VMLive}})
 	manual.Advance(5 * time.Second)
-	stand.Set([]platform.VM{{Name: "a", State: platform.VMLeaving}})
-	for _, want := range []platform.VMState{platform.VMLive, platform.VMLeaving} {
+	stand.Set([]provider.VM{{Name: "a", State: provider.VMLeaving}})
+	for _, want := range []provider.VMState{provider.VMLive, provider.VMLeaving} {
 		vms, err := list.List(context.Background())
 		if err != nil || len(vms) != 1 || vms[0].State != want {
 			t.Fatalf("list %+v, %v, want %s", vms, err, want)
@@ -113,13 +113,13 @@
 		settings.Models = []string{"m"}
 		stand := engine.New(settings)
 		server := httptest.NewServer(stand)
-		client := httpplatform.NewEngine(server.URL)
+		client := httpprovider.NewEngine(server.URL)
 		ctx := context.Background()
-		if err := client.Order(ctx, platform.Order{Fence: 5, Kind: engine.OrderLoadModel, Model: "n"}); err != nil {
+		if err := client.Order(ctx, provider.Order{Fence: 5, Kind: engine.OrderLoadModel, Model: "n"}); err != nil {
 			t.Fatal(err)
 		}
-		err := client.Order(ctx, platform.Order{Fence: 4, Kind: engine.OrderUnloadModel, Model: "n"})
-		var stale *httpplatform.StaleFenceError
+		err := client.Order(ctx, provider.Order{Fence: 4, Kind: engine.OrderUnloadModel, Model: "n"})
+		var stale *httpprovider.StaleFenceError
 		if errors.As(err, &stale) != check {
 			t.Fatalf("check %v: error %v", check, err)
 		}
@@ -135,7 +135,7 @@
 func TestWeightStoreLimit(t *testing.T) {
 	server := httptest.NewServer(weights.New(0.001, 1))
 	defer server.Close()
-	store := httpplatform.NewWeightStore(server.URL)
+	store := httpprovider.NewWeightStore(server.URL)
 	if wait, err := store.Fetch(context.Background(), "m"); err != nil || wait != 0 {
 		t.Fatalf("first: %v, %v", wait, err)
 	}
--- a/platform/httpplatform/read.go
+++ b/provider/httpprovider/read.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpprovider
 
 import (
 	"context"
--- a/platform/httpplatform/transport.go
+++ b/provider/httpprovider/transport.go
@@ -1,4 +1,4 @@
-// Package httpplatform implements the interfaces of package platform over
+// Package httpprovider implements the interfaces of package platform over
 // HTTP/1.1.
 //
 // A caller may rely on a call that is not repeatable being written to the
@@ -6,7 +6,7 @@
 // redirect, uses no proxy and is never sent again by the transport. An error
 // of type *NotSentError says that no byte of the call was written; after any
 // other error the call may have run. Every call ends with its context.
-package httpplatform
+package httpprovider
 
 import (
 	"crypto/tls"
--- a/platform/httpplatform/vmlist.go
+++ b/provider/httpprovider/vmlist.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpprovider
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // maxVMListBytes bounds the list of VMs.
@@ -19,7 +19,7 @@
 	client *http.Client
 }
 
-var _ platform.VMList = (*VMList)(nil)
+var _ provider.VMList = (*VMList)(nil)
 
 // NewVMList returns a reader of the list at baseURL.
 func NewVMList(baseURL string) *VMList {
@@ -30,8 +30,8 @@
 }
 
 // List returns the VMs that the platform believes live or leaving.
-func (l *VMList) List(ctx context.Context) ([]platform.VM, error) {
-	var vms []platform.VM
+func (l *VMList) List(ctx context.Context) ([]provider.VM, error) {
+	var vms []provider.VM
 	err := getJSON(ctx, l.client, l.url, maxVMListBytes, &vms)
 	return vms, eris.Wrap(err, "VM list")
 }
--- a/platform/httpplatform/weights.go
+++ b/provider/httpprovider/weights.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpprovider
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // HeaderRetryAfterMillis carries the weight store's wait, in milliseconds.
@@ -22,7 +22,7 @@
 	client *http.Client
 }
 
-var _ platform.WeightStore = (*WeightStore)(nil)
+var _ provider.WeightStore = (*WeightStore)(nil)
 
 // NewWeightStore returns a client of the weight store at baseURL.
 func NewWeightStore(baseURL string) *WeightStore {
--- a/platform/platform.go
+++ b/provider/provider.go
@@ -1,9 +1,9 @@
-// Package platform defines what sesameswitch needs from the platform it runs
+// Package provider defines what sesameswitch needs from the platform it runs
 // on, as small interfaces. Decisions never depend on an implementation.
 //
 // All of them can only be read. Any call may fail, hang until its context
 // ends, or answer with something old.
-package platform
+package provider
 
 import (
 	"context"
--- a/slopes/fleet.go
+++ b/slopes/fleet.go
@@ -22,8 +22,8 @@
 	"github.com/sesameswitch/sesameswitch/configsync"
 	"github.com/sesameswitch/sesameswitch/membership"
 	"github.com/sesameswitch/sesameswitch/peer"
-	"github.com/sesameswitch/sesameswitch/platform"
-	"github.com/sesameswitch/sesameswitch/platform/httpplatform"
+	"github.com/sesameswitch/sesameswitch/provider"
+	"github.com/sesameswitch/sesameswitch/provider/httpprovider"
 	"github.com/sesameswitch/sesameswitch/standin/config"
 	"github.com/sesameswitch/sesameswitch/standin/vmlist"
 )
@@ -39,7 +39,7 @@
 
 // member is one process of a fleet.
 type member struct {
-	vm       platform.VM
+	vm       provider.VM
 	listener net.Listener
 	server   *peer.Server
 	pool     *peer.Pool
@@ -90,7 +90,7 @@
 	f.listAt = httptest.NewServer(f.list)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	vms := make([]platform.VM, n)
+	vms := make([]provider.VM, n)
 	for i := range n {
 		m, err := newMember(i)
 		if err != nil {
@@ -115,14 +115,14 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "slopes: listen")
 	}
-	role := platform.RoleAgent
+	role := provider.RoleAgent
 	if i%10 < 3 {
-		role = platform.RoleEntry
+		role = provider.RoleEntry
 	}
-	vm := platform.VM{
+	vm := provider.VM{
 		Name: fmt.Sprintf("vm-%04d", i), Address: listener.Addr().String(),
 		DataCentre: fmt.Sprintf("dc-%d", i%dataCentres), Region: fmt.Sprintf("region-%d", i%3),
-		Role: role, State: platform.VMLive,
+		Role: role, State: provider.VMLive,
 	}
 	cfg := peer.DefaultConfig()
 	return &member{vm: vm, listener: listener, server: peer.NewServer(cfg), pool: peer.NewPool(cfg)}, nil
@@ -135,11 +135,11 @@
 		Accepted: func(version uint64, _ configsync.Source) { f.arrivals.note(version) },
 	})
 	m.watcher = membership.NewWatcher(membership.WatcherConfig{
-		Table: table, Source: httpplatform.NewVMList(f.listAt.URL), Caller: m.pool, Clock: c,
+		Table: table, Source: httpprovider.NewVMList(f.listAt.URL), Caller: m.pool, Clock: c,
 		Rand: rand.New(rand.NewPCG(seed, 1)), Timing: membership.DefaultTiming(),
 	})
 	m.syncer = configsync.NewSyncer(configsync.SyncerConfig{
-		Store: m.store, Source: httpplatform.NewConfigSource(f.configAt.URL, manifestKey),
+		Store: m.store, Source: httpprovider.NewConfigSource(f.configAt.URL, manifestKey),
 		Members: table, Caller: m.pool, Clock: c,
 		Rand: rand.New(rand.NewPCG(seed, 2)), Timing: configsync.DefaultTiming(),
 	})
--- a/slopes/heartbeat.go
+++ b/slopes/heartbeat.go
@@ -16,7 +16,7 @@
 	"github.com/sesameswitch/sesameswitch/entry"
 	"github.com/sesameswitch/sesameswitch/membership"
 	"github.com/sesameswitch/sesameswitch/peer"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/telemetry"
 	"github.com/sesameswitch/sesameswitch/timeline"
 )
@@ -56,16 +56,16 @@
 	point := HeartbeatPoint{Agents: agents}
 	pool := peer.NewPool(peer.DefaultConfig())
 	defer pool.Close()
-	vms := make([]platform.VM, agents)
+	vms := make([]provider.VM, agents)
 	for i := range agents {
 		address, stop, err := serveStatus(i)
 		if err != nil {
 			return point, err
 		}
 		defer stop()
-		vms[i] = platform.VM{
+		vms[i] = provider.VM{
 			Name: fmt.Sprintf("vm-%04d", i), Address: address, DataCentre: "dc-1",
-			Role: platform.RoleAgent, State: platform.VMLive,
+			Role: provider.RoleAgent, State: provider.VMLive,
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -86,11 +86,11 @@
 }
 
 // newEntry wires an entry that knows the agents and has no callers.
-func newEntry(pool *peer.Pool, agents []platform.VM) *entry.Entry {
+func newEntry(pool *peer.Pool, agents []provider.VM) *entry.Entry {
 	c := clock.New()
-	self := platform.VM{Name: "vm-entry", Address: "127.0.0.1:1", DataCentre: "dc-1", Role: platform.RoleEntry, State: platform.VMLive}
+	self := provider.VM{Name: "vm-entry", Address: "127.0.0.1:1", DataCentre: "dc-1", Role: provider.RoleEntry, State: provider.VMLive}
 	members := membership.NewTable(self, c)
-	members.Apply(append([]platform.VM{self}, agents...))
+	members.Apply(append([]provider.VM{self}, agents...))
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	process := timeline.Process{VM: self.Name, Role: string(self.Role), DataCentre: self.DataCentre, Incarnation: "life"}
--- a/slopes/hops.go
+++ b/slopes/hops.go
@@ -5,7 +5,7 @@
 
 	"github.com/sesameswitch/sesameswitch/configsync"
 	"github.com/sesameswitch/sesameswitch/membership"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // HopsPoint is how far a version travels by push, worked out from the
@@ -27,10 +27,10 @@
 
 // MeasureHops follows a version from the watchers along the neighbours.
 func MeasureHops(n int) HopsPoint {
-	vms := make([]platform.VM, n)
-	byName := make(map[string]platform.VM, n)
+	vms := make([]provider.VM, n)
+	byName := make(map[string]provider.VM, n)
 	for i := range vms {
-		vms[i] = platform.VM{
+		vms[i] = provider.VM{
 			Name: fmt.Sprintf("vm-%04d", i), Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250),
 			DataCentre: fmt.Sprintf("dc-%d", i%dataCentres),
 		}
@@ -60,7 +60,7 @@
 }
 
 // pushed returns the processes that the front reaches for the first time.
-func pushed(front []string, vms []platform.VM, byName map[string]platform.VM, reached map[string]bool) []string {
+func pushed(front []string, vms []provider.VM, byName map[string]provider.VM, reached map[string]bool) []string {
 	var next []string
 	for _, name := range front {
 		for _, vm := range membership.Neighbours(byName[name], vms, hopsEpoch, configsync.LocalNeighbours, configsync.RemoteNeighbours) {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -15,7 +15,7 @@
 	"net/http"
 
 	"github.com/sesameswitch/sesameswitch/clock"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/standin/internal/control"
 )
 
@@ -47,7 +47,7 @@
 // timedReport is the load from a time on.
 type timedReport struct {
 	from   time.Time
-	report platform.LoadReport
+	report provider.LoadReport
 }
 
 // New returns a running engine; Close stops it.
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -11,7 +11,7 @@
 	"strings"
 	"testing"
 
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/standin/engine"
 )
 
@@ -180,14 +180,14 @@
 	}
 }
 
-func load(t *testing.T, url string) platform.LoadReport {
+func load(t *testing.T, url string) provider.LoadReport {
 	t.Helper()
 	response, err := http.Get(url + "/load")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer response.Body.Close()
-	var report platform.LoadReport
+	var report provider.LoadReport
 	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
 		t.Fatal(err)
 	}
--- a/standin/engine/load.go
+++ b/standin/engine/load.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/standin/internal/control"
 )
 
@@ -23,7 +23,7 @@
 // recordLoad remembers the present load when it differs from the last one.
 // The caller holds the lock.
 func (s *Server) recordLoad(now time.Time) {
-	report := platform.LoadReport{
+	report := provider.LoadReport{
 		Slots:   s.settings.Slots,
 		Running: len(s.batch.running),
 		Waiting: len(s.batch.waiting),
@@ -63,12 +63,12 @@
 }
 
 // loadAt returns the load at a time; before the first record it is idle.
-func (s *Server) loadAt(at time.Time) platform.LoadReport {
+func (s *Server) loadAt(at time.Time) provider.LoadReport {
 	later := sort.Search(len(s.reports), func(i int) bool {
 		return s.reports[i].from.After(at)
 	})
 	if later == 0 {
-		return platform.LoadReport{Slots: s.settings.Slots}
+		return provider.LoadReport{Slots: s.settings.Slots}
 	}
 	return s.reports[later-1].report
 }
@@ -85,7 +85,7 @@
 
 // order carries out an order unless its fence is checked and too low.
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
-	var order platform.Order
+	var order provider.Order
 	if !control.ReadJSON(w, r, &order) {
 		return
 	}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/standin/internal/control"
 )
 
@@ -129,7 +129,7 @@
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	control.WriteJSON(w, platform.LoadReport{
+	control.WriteJSON(w, provider.LoadReport{
 		Slots:   s.settings.Slots,
 		Running: s.running,
 		Waiting: s.waiting,
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/clock"
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/standin/internal/control"
 )
 
@@ -25,7 +25,7 @@
 // version is the list from a time on.
 type version struct {
 	from time.Time
-	vms  []platform.VM
+	vms  []provider.VM
 }
 
 // Server is the stand-in. It is an http.Handler.
@@ -54,7 +54,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
 // Set replaces the list from now on.
-func (s *Server) Set(vms []platform.VM) {
+func (s *Server) Set(vms []provider.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.versions = append(s.versions, version{from: s.clock.Now(), vms: vms})
@@ -85,8 +85,8 @@
 
 // seen returns the list in force at a time. Before the first version it is
 // the first one, so that a lag set at start does not hide the deployment.
-func (s *Server) seen(at time.Time) []platform.VM {
-	vms := []platform.VM{}
+func (s *Server) seen(at time.Time) []provider.VM {
+	vms := []provider.VM{}
 	for i, v := range s.versions {
 		if i > 0 && v.from.After(at) {
 			break
@@ -97,7 +97,7 @@
 }
 
 func (s *Server) putVMs(w http.ResponseWriter, r *http.Request) {
-	var vms []platform.VM
+	var vms []provider.VM
 	if control.ReadJSON(w, r, &vms) {
 		s.Set(vms)
 	}
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -15,7 +15,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/provider"
 )
 
 // ConfigKey is the key of the manifest in a bed's configuration service.
@@ -32,7 +32,7 @@
 
 	mu        sync.Mutex
 	processes []*Process
-	members   []platform.VM
+	members   []provider.VM
 }
 
 // New starts the stand-ins of the configuration service and the VM list. The
@@ -122,9 +122,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return p, b.List(platform.VM{
+	return p, b.List(provider.VM{
 		Name: a.VM, Address: p.Address("peers"), DataCentre: a.DataCentre,
-		Role: platform.RoleAgent, State: platform.VMLive,
+		Role: provider.RoleAgent, State: provider.VMLive,
 	})
 }
 
@@ -151,9 +151,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return p, b.List(platform.VM{
+	return p, b.List(provider.VM{
 		Name: e.VM, Address: p.Address("peers"), DataCentre: e.DataCentre,
-		Role: platform.RoleEntry, State: platform.VMLive,
+		Role: provider.RoleEntry, State: provider.VMLive,
 	})
 }
 
@@ -178,10 +178,10 @@
 }
 
 // List adds a VM to the platform's list or replaces the one of its name.
-func (b *Bed) List(vm platform.VM) error {
+func (b *Bed) List(vm provider.VM) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	index := slices.IndexFunc(b.members, func(m platform.VM) bool { return m.Name == vm.Name })
+	index := slices.IndexFunc(b.members, func(m provider.VM) bool { return m.Name == vm.Name })
 	if index < 0 {
 		b.members = append(b.members, vm)
 	} else {
@@ -194,12 +194,12 @@
 func (b *Bed) Unlist(name string) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.members = slices.DeleteFunc(b.members, func(m platform.VM) bool { return m.Name == name })
+	b.members = slices.DeleteFunc(b.members, func(m provider.VM) bool { return m.Name == name })
 	return b.publishMembers()
 }
 
 // Members returns the VMs as the platform lists them.
-func (b *Bed) Members() []platform.VM {
+func (b *Bed) Members() []provider.VM {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return slices.Clone(b.members)
