--- /dev/null
+++ b/gateway/daemon.go
@@ -0,0 +1,261 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesameswitch/sesameswitch/clock"
+	"github.com/sesameswitch/sesameswitch/deployment"
+	"github.com/sesameswitch/sesameswitch/directory"
+	"github.com/sesameswitch/sesameswitch/ingress"
+	"github.com/sesameswitch/sesameswitch/routes"
+	"github.com/sesameswitch/sesameswitch/routing"
+	"github.com/sesameswitch/sesameswitch/telemetry"
+	"github.com/sesameswitch/sesameswitch/upstream"
+)
+
+const (
+	// settingsInterval is how often the settings file is looked at, as it may
+	// change without a signal.
+	settingsInterval = time.Second
+	// sweepPoolInterval is how often unused connections are looked at.
+	sweepPoolInterval = 2 * time.Second
+	// drainPoll is how often a draining process looks whether it is idle.
+	drainPoll = 50 * time.Millisecond
+	// lameDuck is how long a draining process goes on at least: the balancer
+	// takes it out after two checks, a second apart, and connections are on
+	// their way then.
+	lameDuck = 3500 * time.Millisecond
+	// graceMargin is left of the grace for the end of the process itself.
+	graceMargin = 400 * time.Millisecond
+	// readyTimeout bounds a readiness check's exchange.
+	readyTimeout = 2 * time.Second
+)
+
+// defaultLimits hold until there is a configuration.
+var defaultLimits = ingress.Limits{
+	HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
+}
+
+// Platform is what a daemon needs of the platform it runs on.
+type Platform struct {
+	Codec Codec
+	// Store returns a client of the store at the address.
+	Store func(address func() string) Store
+	// ReadSettings returns the settings when they have changed, otherwise nil.
+	ReadSettings func() (*deployment.Settings, error)
+}
+
+// Options are the daemon's own settings.
+type Options struct {
+	// MetricsAddress serves counters and histograms; empty is none.
+	MetricsAddress string
+	Seed           uint64
+}
+
+// Daemon is one process.
+type Daemon struct {
+	platform Platform
+	options  Options
+	settings atomic.Pointer[deployment.Settings]
+	log      *logrus.Entry
+	metrics  *telemetry.Metrics
+	view     *View
+	dir      *directory.Directory
+	pool     *upstream.Pool
+	server   *Server
+	ingress  *ingress.Server
+	peers    *Peers
+	draining atomic.Bool
+}
+
+// NewDaemon reads the settings and joins the parts.
+func NewDaemon(p Platform, o Options, log *logrus.Logger) (*Daemon, error) {
+	settings, err := p.ReadSettings()
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{platform: p, options: o, metrics: telemetry.New(), dir: directory.New()}
+	d.settings.Store(settings)
+	d.log = log.WithField("vm", settings.VM)
+	placer := routing.NewPlacer(settings.DataCentre)
+	store := p.Store(func() string { return d.settings.Load().StoreAddress })
+	d.view = NewView(store, d.dir, clock.SinceBoot, d.log, placer.Forget)
+	dialed := d.metrics.Counter("sesame_gateway_connections_opened_total")
+	d.pool = upstream.New(upstream.Config{Dialed: func(string) { dialed.Inc(1) }})
+	d.peers = NewPeers(settings, o.Seed, d.log)
+	d.server = NewServer(Dependencies{
+		Codec: p.Codec, View: d.view, Directory: d.dir, Placer: placer, Pool: d.pool, Gateways: d.peers,
+		Clock: clock.New(), Metrics: d.metrics, Log: d.log, Settings: d.settings.Load, Seed: o.Seed,
+	})
+	d.ingress = ingress.New(ingress.Config{
+		Handle: d.server.Handle, Limits: d.limits, Closing: d.draining.Load, Refused: d.refusedAtIngress,
+	})
+	return d, nil
+}
+
+// refusedAtIngress notes a request that could not be read.
+func (d *Daemon) refusedAtIngress(r ingress.Refusal) {
+	d.log.WithFields(logrus.Fields{"event": "request_refused", "status": r.Status, "reason": r.Reason}).Info("request refused before it was read")
+	d.server.meters.refused("", "unreadable")
+}
+
+// limits returns the limits in force for callers.
+func (d *Daemon) limits() ingress.Limits {
+	table := d.view.Table()
+	if table == nil {
+		return defaultLimits
+	}
+	return limitsOf(table.Limits)
+}
+
+func limitsOf(l routes.Limits) ingress.Limits {
+	return ingress.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+}
+
+// Run serves until the process is asked to end.
+func (d *Daemon) Run() error {
+	settings := d.settings.Load()
+	callers, err := net.Listen("tcp", settings.CallerAddress)
+	if err != nil {
+		return eris.Wrap(err, "gateway: caller listener")
+	}
+	readiness, err := net.Listen("tcp", settings.ReadyAddress)
+	if err != nil {
+		return eris.Wrap(err, "gateway: readiness listener")
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	d.startDuties(ctx, group)
+	group.Go(func() error { return d.ingress.Serve(callers) })
+	ready := &http.Server{Handler: http.HandlerFunc(d.readyz), ReadTimeout: readyTimeout, WriteTimeout: readyTimeout}
+	group.Go(func() error { return served(ready.Serve(readiness)) })
+	group.Go(func() error { return d.serveMetrics(ctx) })
+	group.Go(func() error {
+		defer cancel()
+		d.live(ctx, signals)
+		callers.Close()
+		d.ingress.Close()
+		_ = ready.Close() // the process ends
+		return nil
+	})
+	d.log.WithFields(logrus.Fields{"event": "started", "data_centre": settings.DataCentre, "callers": settings.CallerAddress, "store": settings.StoreAddress}).Info("started")
+	err = group.Wait()
+	d.log.WithFields(logrus.Fields{"event": "stopped", "in_flight": d.ingress.InFlight()}).Info("stopped")
+	return err
+}
+
+// startDuties runs the duties that go on in the background.
+func (d *Daemon) startDuties(ctx context.Context, group *errgroup.Group) {
+	for _, duty := range []func(context.Context){
+		d.view.Follow, d.view.Sweep, d.peers.Run, d.sweepPool, d.followSettings,
+	} {
+		group.Go(func() error {
+			duty(ctx)
+			return nil
+		})
+	}
+}
+
+// served leaves out the error of a server that was closed on purpose.
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "gateway: listener failed")
+}
+
+// readyz answers the balancer.
+func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
+	if d.draining.Load() || !d.server.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveMetrics serves the instruments.
+func (d *Daemon) serveMetrics(ctx context.Context) error {
+	if d.options.MetricsAddress == "" {
+		return nil
+	}
+	server := &http.Server{Addr: d.options.MetricsAddress, Handler: d.metrics.Handler(), ReadTimeout: readyTimeout, WriteTimeout: readyTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return served(server.ListenAndServe())
+}
+
+// sweepPool closes connections that are not used any more.
+func (d *Daemon) sweepPool(ctx context.Context) {
+	clock.Every(ctx, sweepPoolInterval, func() { d.pool.Sweep(func(string) bool { return true }) })
+}
+
+// followSettings takes in settings that change without a signal.
+func (d *Daemon) followSettings(ctx context.Context) {
+	clock.Every(ctx, settingsInterval, d.reload)
+}
+
+// reload takes in changed settings as a whole; faulty ones are refused and the
+// last good ones stay in force.
+func (d *Daemon) reload() {
+	settings, err := d.platform.ReadSettings()
+	switch {
+	case err != nil:
+		d.log.WithError(err).WithField("event", "settings_refused").Error("the settings stay as they were")
+	case settings != nil:
+		d.settings.Store(settings)
+		d.peers.Reseed(settings.Seeds)
+		d.log.WithFields(logrus.Fields{"event": "settings_reloaded", "store": settings.StoreAddress}).Info("settings in force")
+	}
+}
+
+// live goes through the process's life: it serves, and on SIGTERM drains.
+func (d *Daemon) live(ctx context.Context, signals <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			d.log.WithFields(logrus.Fields{"event": "signal", "signal": s.String()}).Info("signal")
+			if s == syscall.SIGHUP {
+				d.reload()
+				continue
+			}
+			d.drain(ctx)
+			return
+		}
+	}
+}
+
+// drain is not ready at once but serves on until nothing is in flight, at the
+// longest until the grace ends.
+func (d *Daemon) drain(ctx context.Context) {
+	d.draining.Store(true)
+	began := time.Now()
+	grace := d.settings.Load().Bounds.Grace - graceMargin
+	d.log.WithFields(logrus.Fields{"event": "draining", "in_flight": d.ingress.InFlight(), "connections": d.ingress.Connections()}).Info("draining")
+	for ctx.Err() == nil {
+		elapsed := time.Since(began)
+		if elapsed >= grace || elapsed >= lameDuck && d.ingress.InFlight() == 0 {
+			return
+		}
+		clock.Sleep(ctx, drainPoll)
+	}
+}
+
+// MemoryBytes is the memory that the process may use.
+func (d *Daemon) MemoryBytes() int64 { return d.settings.Load().Limits.MemoryBytes }
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sesameswitch/sesameswitch/clock"
+	"github.com/sesameswitch/sesameswitch/deployment"
+)
+
+const (
+	// helloInterval is how often a gateway tells the others that it lives.
+	helloInterval = 500 * time.Millisecond
+	// peerTimeout is how long a gateway that is not heard counts as alive:
+	// three hellos may be lost, or it may restart.
+	peerTimeout = 4 * time.Second
+	// maxPeers bounds what is remembered.
+	maxPeers = 1024
+	// maxHelloBytes is the largest datagram that passes every link whole.
+	maxHelloBytes = 1400
+	// hellosPerRound is how many gateways are greeted in one interval.
+	hellosPerRound = 6
+	// unknownGateways is how many gateways are assumed before others were
+	// heard: a gateway alone must not use up what all may use together.
+	unknownGateways = 8
+	// learnTime is how long after its start a gateway assumes so.
+	learnTime = 2 * time.Second
+)
+
+// hello is a datagram between gateways.
+type hello struct {
+	From string `json:"from"`
+	// Known are addresses of some gateways that the sender heard.
+	Known []string `json:"known,omitempty"`
+}
+
+// Peers knows the other gateways from datagrams. It is safe for concurrent use.
+//
+// A caller may rely on Live counting a gateway that sends hellos over a sound
+// path within a few intervals, and no longer than peerTimeout after its last.
+type Peers struct {
+	address string
+	log     *logrus.Entry
+	clock   clock.Clock
+	mu      sync.Mutex
+	seeds   []string
+	// heard is when each gateway was heard of last, by its address; a gateway
+	// that was only named by others has the zero time.
+	heard   map[string]time.Time
+	turn    int
+	started time.Time
+}
+
+// NewPeers returns the peers of a gateway that has heard nobody.
+func NewPeers(settings *deployment.Settings, _ uint64, log *logrus.Entry) *Peers {
+	c := clock.New()
+	return &Peers{
+		address: settings.PeerAddress, seeds: settings.Seeds, log: log, clock: c,
+		heard: make(map[string]time.Time), started: c.Now(),
+	}
+}
+
+// Reseed replaces the seeds.
+func (p *Peers) Reseed(seeds []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = seeds
+}
+
+// Live implements Gateways.
+func (p *Peers) Live() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	live := 1
+	for _, at := range p.heard {
+		if now.Sub(at) < peerTimeout {
+			live++
+		}
+	}
+	if now.Sub(p.started) < learnTime {
+		return max(live, unknownGateways)
+	}
+	return live
+}
+
+// Run sends and receives hellos until the context ends.
+func (p *Peers) Run(ctx context.Context) {
+	if p.address == "" {
+		return
+	}
+	local, err := net.ResolveUDPAddr("udp", p.address)
+	if err != nil {
+		p.log.WithError(err).WithField("event", "peers_off").Error("the peer address cannot be used")
+		return
+	}
+	conn, err := net.ListenUDP("udp", local)
+	if err != nil {
+		p.log.WithError(err).WithField("event", "peers_off").Error("the peer address cannot be used")
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	go clock.Every(ctx, helloInterval, func() { p.greet(conn) })
+	p.receive(conn)
+}
+
+// greet sends a round of hellos.
+func (p *Peers) greet(conn *net.UDPConn) {
+	targets, message := p.round()
+	content, err := json.Marshal(message)
+	if err != nil || len(content) > maxHelloBytes {
+		p.log.WithError(err).WithFields(logrus.Fields{"event": "hello_failed", "bytes": len(content)}).Error("a hello cannot be sent")
+		return
+	}
+	for _, target := range targets {
+		to, err := netip.ParseAddrPort(target)
+		if err != nil {
+			continue // seeds were checked when they were read; a peer's word was not
+		}
+		_, _ = conn.WriteToUDPAddrPort(content, to) // a lost datagram is made good by the next
+	}
+}
+
+// round chooses whom to greet and what to say.
+func (p *Peers) round() ([]string, hello) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	var known []string
+	for address, at := range p.heard {
+		if !at.IsZero() && now.Sub(at) > 3*peerTimeout {
+			delete(p.heard, address)
+			p.log.WithFields(logrus.Fields{"event": "peer_lost", "peer": address}).Info("gateway lost")
+			continue
+		}
+		known = append(known, address)
+	}
+	targets := make([]string, 0, hellosPerRound+len(p.seeds))
+	for _, seed := range p.seeds {
+		if _, heard := p.heard[seed]; !heard && seed != p.address {
+			targets = append(targets, seed)
+		}
+	}
+	for i := range min(hellosPerRound, len(known)) {
+		targets = append(targets, known[(p.turn+i)%len(known)])
+	}
+	p.turn += hellosPerRound
+	return targets, hello{From: p.address, Known: known[:min(len(known), hellosPerRound)]}
+}
+
+// receive takes in hellos until the connection is closed.
+func (p *Peers) receive(conn *net.UDPConn) {
+	buf := make([]byte, maxHelloBytes)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if !eris.Is(err, net.ErrClosed) {
+				p.log.WithError(err).WithField("event", "peers_off").Error("hellos cannot be received")
+			}
+			return
+		}
+		var message hello
+		if err := json.Unmarshal(buf[:n], &message); err != nil {
+			p.log.WithError(err).WithField("event", "hello_unreadable").Debug("a hello was passed over")
+			continue
+		}
+		p.take(message)
+	}
+}
+
+// take notes what a hello tells.
+func (p *Peers) take(message hello) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, err := netip.ParseAddrPort(message.From); err != nil || message.From == p.address {
+		return
+	}
+	if at, known := p.heard[message.From]; !known || at.IsZero() {
+		p.log.WithFields(logrus.Fields{"event": "peer_heard", "peer": message.From}).Info("gateway heard")
+	}
+	p.heard[message.From] = p.clock.Now()
+	for _, address := range message.Known {
+		_, known := p.heard[address]
+		if _, err := netip.ParseAddrPort(address); err != nil || known || address == p.address || len(p.heard) >= maxPeers {
+			continue
+		}
+		p.heard[address] = time.Time{}
+	}
+}
--- /dev/null
+++ b/routing/placer.go
@@ -0,0 +1,314 @@
+package routing
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A Placer chooses among backend servers that many gateways reach directly. It
+// is made for this load pattern: long prompts that share their first parts,
+// beside streams that must not pause, in bursts, with each gateway seeing its
+// own part of the traffic only.
+//
+// A caller may rely on Choose agreeing with other gateways on where a shared
+// part lives while they know the same servers, without talk; on a part moving
+// only when its server comes or goes; and on some server being chosen whenever
+// one is not excluded.
+
+const (
+	// defaultReadPace is how many prompt tokens an engine reads in a
+	// millisecond until its own answers tell; half of a current engine.
+	defaultReadPace = 30.0
+	// paceQuantile is the weight of one observation of the reading pace.
+	placerPaceGain = 0.1
+	// waitingShare is how much the prompt tokens that wait at a server delay a
+	// new request: they are read in turns, not one prompt after the other.
+	waitingShare = 0.6
+	// openCost is what each open request at an engine adds to the time of a new
+	// one, in milliseconds: a larger batch makes each step longer.
+	openCost = 4.0
+	// remoteCost is what a server in another data centre counts more, in
+	// milliseconds: bytes between data centres are priced.
+	remoteCost = 20.0
+	// crossingCost is what a server of the other pool counts more, in
+	// milliseconds: a long prompt beside a stream delays its next event.
+	crossingCost = 60.0
+	// failureCost is what a server counts more that fails each request, in
+	// milliseconds: a failed request is worth nothing, however early.
+	failureCost = 4000.0
+	// failureMemory is the half-life of observed failures.
+	failureMemory = 3 * time.Second
+	// failureGain is the weight of one outcome.
+	failureGain = 0.3
+	// slowMemory is the half-life of an observed slowness.
+	slowMemory = 4 * time.Second
+	slowGain   = 0.25
+	maxSlow    = 30.0
+	// reportMemory is how long a server's own figures count.
+	reportMemory = 700 * time.Millisecond
+	// demandMemory is the half-life of the demand that sizes the pools.
+	demandMemory = 4 * time.Second
+	// tightFactor separates the streams with the shortest pauses from others.
+	tightFactor = 1.2
+	// minPoolServers is the least number of servers with which pools are kept.
+	minPoolServers = 4
+	// maxTightShare bounds the pool of the tight streams.
+	maxTightShare = 0.5
+	// plainWork is the time of a request at a plain service until answers tell.
+	plainWork = 60.0
+)
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Job is what the choice of a server depends on.
+type Job struct {
+	// Kind names requests of the same sort: the route.
+	Kind string
+	// Service is where it is sent.
+	Service string
+	// Generates says that an engine reads a prompt for it.
+	Generates bool
+	// Parts are the parts of its prompt that other requests may share, in
+	// order.
+	Parts []Part
+	// PromptTokens is the length of the whole prompt.
+	PromptTokens int
+	// OutputTokens is the expected length of the answer.
+	OutputTokens int
+	// MaxPause is the longest pause between events; zero is no goal.
+	MaxPause time.Duration
+	// MemoryTokens is what one server of the service holds.
+	MemoryTokens int
+}
+
+// Server is a candidate.
+type Server struct {
+	ID         string
+	DataCentre string
+	Slots      int
+}
+
+// Choice is the chosen server with what decided it, all in milliseconds.
+type Choice struct {
+	Index int
+	Cost  float64
+	// Read is the time to read the part of the prompt that is not cached.
+	Read float64
+	// Wait is the time for what is before it.
+	Wait float64
+	// Penalty is for distance, the other pool and failures.
+	Penalty float64
+	// Uncached is how many tokens are expected to be read.
+	Uncached int
+}
+
+// Placer holds what a gateway knows of the servers. It is safe for concurrent
+// use.
+type Placer struct {
+	mu         sync.Mutex
+	dataCentre string
+	servers    map[string]*serverModel
+	services   map[string]*serviceModel
+}
+
+// NewPlacer returns a placer of a gateway in the data centre.
+func NewPlacer(dataCentre string) *Placer {
+	return &Placer{dataCentre: dataCentre, servers: make(map[string]*serverModel), services: make(map[string]*serviceModel)}
+}
+
+// serviceModel is what was seen of a service as a whole.
+type serviceModel struct {
+	// readPace is the prompt tokens read in a millisecond.
+	readPace float64
+	// workByKind is the mean time of a request in milliseconds.
+	workByKind map[string]float64
+	// failuresByKind is the share of requests that fail anywhere.
+	failuresByKind map[string]float64
+	// pauses are the pause goals seen, by kind.
+	pauses map[string]time.Duration
+	// demand is the decayed reading time asked for, by pool.
+	demand   [2]float64
+	demandAt time.Time
+}
+
+func (p *Placer) service(name string) *serviceModel {
+	s := p.services[name]
+	if s == nil {
+		s = &serviceModel{
+			readPace:       defaultReadPace,
+			workByKind:     make(map[string]float64),
+			failuresByKind: make(map[string]float64),
+			pauses:         make(map[string]time.Duration),
+		}
+		p.services[name] = s
+	}
+	return s
+}
+
+// tight reports whether the job belongs to the streams with the shortest
+// pauses among several kinds.
+func (s *serviceModel) tight(j *Job) bool {
+	if j.MaxPause == 0 {
+		return false
+	}
+	s.pauses[j.Kind] = j.MaxPause
+	least, most := j.MaxPause, j.MaxPause
+	for _, pause := range s.pauses {
+		least, most = min(least, pause), max(most, pause)
+	}
+	limit := time.Duration(tightFactor * float64(least))
+	return j.MaxPause <= limit && most > limit
+}
+
+// addDemand counts the reading time of a job for the size of the pools.
+func (s *serviceModel) addDemand(now time.Time, tight bool, read float64) {
+	decay := halfLife(now.Sub(s.demandAt), demandMemory)
+	s.demandAt = now
+	s.demand[0] *= decay
+	s.demand[1] *= decay
+	s.demand[poolIndex(tight)] += read
+}
+
+func poolIndex(tight bool) int {
+	if tight {
+		return 1
+	}
+	return 0
+}
+
+// tightServers is how many of n servers the tight streams get.
+func (s *serviceModel) tightServers(n int) int {
+	total := s.demand[0] + s.demand[1]
+	if n < minPoolServers || total == 0 || s.demand[1] == 0 {
+		return 0
+	}
+	share := min(maxTightShare, s.demand[1]/total)
+	return max(1, int(math.Round(share*float64(n))))
+}
+
+// halfLife is what is left of 1 after a time.
+func halfLife(elapsed, half time.Duration) float64 {
+	if elapsed <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(elapsed) / float64(half))
+}
+
+// poolOf marks the servers of the tight pool: the first by a hash of their
+// ids, so that all gateways agree and few change when servers come or go.
+func poolOf(servers []Server, tightServers int) []bool {
+	tight := make([]bool, len(servers))
+	for range tightServers {
+		best, lowest := -1, uint64(0)
+		for i := range servers {
+			h := mix(xxhash.Sum64String(servers[i].ID))
+			if !tight[i] && (best < 0 || h < lowest) {
+				best, lowest = i, h
+			}
+		}
+		tight[best] = true
+	}
+	return tight
+}
+
+// owner returns the server of a pool where all gateways expect a part, or -1.
+func owner(servers []Server, pool []bool, tight bool, part string) int {
+	hash := xxhash.Sum64String(part)
+	best, highest := -1, uint64(0)
+	for i := range servers {
+		if pool[i] != tight {
+			continue
+		}
+		if h := mix(hash ^ xxhash.Sum64String(servers[i].ID)); best < 0 || h > highest {
+			best, highest = i, h
+		}
+	}
+	return best
+}
+
+// Choose returns the server with the least expected cost among those that are
+// not excluded; ok is false when there is none.
+func (p *Placer) Choose(now time.Time, j *Job, servers []Server, excluded map[string]bool) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	service := p.service(j.Service)
+	tight := service.tight(j)
+	pool := poolOf(servers, service.tightServers(len(servers)))
+	home := -1
+	if len(j.Parts) > 0 {
+		home = owner(servers, pool, tight, j.Parts[0].ID)
+	}
+	best := Choice{Index: -1}
+	for i := range servers {
+		if excluded[servers[i].ID] {
+			continue
+		}
+		c := p.weigh(now, j, service, &servers[i], i == home)
+		if pool[i] != tight && j.Generates {
+			c.Penalty += crossingCost
+		}
+		c.Cost = c.Read + c.Wait + c.Penalty
+		c.Index = i
+		if best.Index < 0 || c.Cost < best.Cost {
+			best = c
+		}
+	}
+	return best, best.Index >= 0
+}
+
+// weigh estimates the job's cost at one server.
+func (p *Placer) weigh(now time.Time, j *Job, service *serviceModel, s *Server, home bool) Choice {
+	m := p.model(s.ID)
+	c := Choice{}
+	if j.Generates {
+		c.Uncached = m.uncached(now, j, home)
+		c.Read = float64(c.Uncached) / service.readPace
+		c.Wait = waitingShare*float64(m.unread)/service.readPace + openCost*float64(m.openNow(now))
+		c.Wait += m.memoryWait(j, service)
+	} else {
+		work := service.workOf(j.Kind)
+		c.Read = work
+		c.Wait = work * max(0, float64(m.openNow(now)+1)-float64(max(1, s.Slots))) / float64(max(1, s.Slots))
+		c.Wait += work * float64(m.openNow(now)) / float64(max(1, s.Slots)) / 2
+	}
+	slow := m.slowNow(now)
+	c.Read, c.Wait = c.Read*slow, c.Wait*slow
+	c.Penalty = failureCost * m.failuresNow(now)
+	if s.DataCentre != p.dataCentre {
+		c.Penalty += remoteCost
+	}
+	return c
+}
+
+func (s *serviceModel) workOf(kind string) float64 {
+	if work, ok := s.workByKind[kind]; ok {
+		return work
+	}
+	return plainWork
+}
+
+// Forget drops what is known of servers that are gone.
+func (p *Placer) Forget(gone string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.servers, gone)
+}
+
+// Open returns how many of this gateway's requests the server holds, and the
+// tokens of them.
+func (p *Placer) Open(id string) (requests, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.servers[id]
+	if m == nil {
+		return 0, 0
+	}
+	return m.open, m.held
+}
--- /dev/null
+++ b/routing/server.go
@@ -0,0 +1,300 @@
+package routing
+
+import (
+	"container/list"
+	"time"
+)
+
+// maxCachedParts bounds what is remembered of one server's cache; engines hold
+// a few hundred parts.
+const maxCachedParts = 2048
+
+// serverModel is what a gateway knows of one server, from what it sent and saw.
+type serverModel struct {
+	// parts holds the parts expected in the server's cache by id; order has
+	// the least recently used at its back.
+	parts  map[string]*list.Element
+	order  *list.List
+	cached int
+	// open and held count this gateway's requests and their tokens.
+	open int
+	held int
+	// unread are the prompt tokens of open requests without a first event.
+	unread int
+
+	reportedAt time.Time
+	// others is how many requests of other gateways the last report implied.
+	others int
+
+	failures   float64
+	failuresAt time.Time
+	slow       float64
+	slowAt     time.Time
+}
+
+type cachedPart struct {
+	id     string
+	tokens int
+	used   time.Time
+}
+
+func (p *Placer) model(id string) *serverModel {
+	m := p.servers[id]
+	if m == nil {
+		m = &serverModel{parts: make(map[string]*list.Element), order: list.New(), slow: 1}
+		p.servers[id] = m
+	}
+	return m
+}
+
+// uncached returns how many tokens of the job's prompt the server must read.
+// The owner of the first part is taken to have it: other gateways sent it there.
+func (m *serverModel) uncached(_ time.Time, j *Job, home bool) int {
+	left := j.PromptTokens
+	for i, part := range j.Parts {
+		if m.parts[part.ID] == nil && !(home && i == 0) {
+			break
+		}
+		left -= part.Tokens
+	}
+	return max(0, left)
+}
+
+// remember notes that the server reads the parts of a job.
+func (m *serverModel) remember(now time.Time, j *Job) {
+	for _, part := range j.Parts {
+		if e := m.parts[part.ID]; e != nil {
+			e.Value.(*cachedPart).used = now
+			m.order.MoveToFront(e)
+			continue
+		}
+		m.parts[part.ID] = m.order.PushFront(&cachedPart{id: part.ID, tokens: part.Tokens, used: now})
+		m.cached += part.Tokens
+	}
+	for m.order.Len() > maxCachedParts || j.MemoryTokens > 0 && m.cached+m.held > j.MemoryTokens && m.order.Len() > 0 {
+		m.evict()
+	}
+}
+
+// evict forgets the part that was used least recently.
+func (m *serverModel) evict() {
+	last := m.order.Back()
+	part := last.Value.(*cachedPart)
+	m.order.Remove(last)
+	delete(m.parts, part.id)
+	m.cached -= part.tokens
+}
+
+// memoryWait is the time, in milliseconds, that a job waits for memory when the
+// server is full of running requests.
+func (m *serverModel) memoryWait(j *Job, service *serviceModel) float64 {
+	if j.MemoryTokens == 0 {
+		return 0
+	}
+	over := m.held + j.PromptTokens + j.OutputTokens - j.MemoryTokens
+	if over <= 0 {
+		return 0
+	}
+	return float64(over) / service.readPace * 2
+}
+
+// openNow is how many requests the server is expected to hold.
+func (m *serverModel) openNow(now time.Time) int {
+	if now.Sub(m.reportedAt) < reportMemory {
+		return m.open + m.others
+	}
+	return m.open
+}
+
+// failuresNow is the share of requests that the server fails beyond what is
+// usual for their kinds.
+func (m *serverModel) failuresNow(now time.Time) float64 {
+	return max(0, m.failures) * halfLife(now.Sub(m.failuresAt), failureMemory)
+}
+
+// slowNow is how many times longer the server takes than others.
+func (m *serverModel) slowNow(now time.Time) float64 {
+	return 1 + (m.slow-1)*halfLife(now.Sub(m.slowAt), slowMemory)
+}
+
+// Result is how a sent request ended.
+type Result string
+
+// Results.
+const (
+	// Succeeded means that the whole answer came.
+	Succeeded Result = "succeeded"
+	// Failed means that the server failed it.
+	Failed Result = "failed"
+	// Refused means that the server did not run it.
+	Refused Result = "refused"
+	// Cancelled means that nobody waited for it any more.
+	Cancelled Result = "cancelled"
+	// Unreachable means that it could not be sent.
+	Unreachable Result = "unreachable"
+)
+
+// Ticket follows one request at a server. It is used by one goroutine.
+type Ticket struct {
+	placer   *Placer
+	job      *Job
+	server   string
+	sent     time.Time
+	uncached int
+	expected float64
+	tokens   int
+	reading  bool
+	ended    bool
+}
+
+// Sent notes that a job goes to the chosen server.
+func (p *Placer) Sent(now time.Time, j *Job, server string, c Choice) *Ticket {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.model(server)
+	t := &Ticket{
+		placer: p, job: j, server: server, sent: now, uncached: c.Uncached, expected: c.Read + c.Wait,
+		tokens: j.PromptTokens + j.OutputTokens, reading: j.Generates,
+	}
+	m.open++
+	if !j.Generates {
+		return t
+	}
+	m.held += t.tokens
+	m.unread += c.Uncached
+	m.remember(now, j)
+	service := p.service(j.Service)
+	service.addDemand(now, service.tight(j), float64(c.Uncached)/service.readPace)
+	return t
+}
+
+// FirstEvent notes the first event of an answer.
+func (t *Ticket) FirstEvent(now time.Time) {
+	t.placer.mu.Lock()
+	defer t.placer.mu.Unlock()
+	m := t.placer.model(t.server)
+	t.read(m)
+	took := milliseconds(now.Sub(t.sent))
+	service := t.placer.service(t.job.Service)
+	if t.uncached > minPaceSample && m.open == 1 {
+		pace := float64(t.uncached) / max(1, took)
+		service.readPace += placerPaceGain * (pace - service.readPace)
+	}
+	m.addSlow(now, took, t.expected+firstEventBase)
+}
+
+const (
+	// minPaceSample is the least prompt that shows the reading pace.
+	minPaceSample = 2000
+	// firstEventBase is the time to a first event with nothing to read, in
+	// milliseconds: transit and a few steps.
+	firstEventBase = 25.0
+)
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// addSlow takes in how long the server took against what was expected.
+func (m *serverModel) addSlow(now time.Time, took, expected float64) {
+	ratio := min(maxSlow, max(1, took/max(1, expected)/slowTolerance))
+	m.slow = m.slowNow(now)
+	m.slow += slowGain * (ratio - m.slow)
+	m.slowAt = now
+}
+
+// slowTolerance is how many times the expected time is still usual.
+const slowTolerance = 2.0
+
+// read takes the job out of the prompts that wait.
+func (t *Ticket) read(m *serverModel) {
+	if t.reading {
+		t.reading = false
+		m.unread = max(0, m.unread-t.uncached)
+	}
+}
+
+// Ended notes the end of the request.
+func (t *Ticket) Ended(now time.Time, result Result) {
+	t.placer.mu.Lock()
+	defer t.placer.mu.Unlock()
+	if t.ended {
+		return
+	}
+	t.ended = true
+	m := t.placer.model(t.server)
+	t.read(m)
+	m.open = max(0, m.open-1)
+	if t.job.Generates {
+		m.held = max(0, m.held-t.tokens)
+	}
+	service := t.placer.service(t.job.Service)
+	switch result {
+	case Succeeded:
+		t.succeeded(now, m, service)
+	case Failed, Unreachable:
+		m.addFailure(now, 1-service.failuresByKind[t.job.Kind])
+		if result == Failed {
+			service.addFailure(t.job.Kind, 1)
+		}
+	case Refused:
+		m.addFailure(now, refusalWeight)
+	case Cancelled:
+	}
+}
+
+const (
+	// refusalWeight is what a refusal counts against a failure: the server is
+	// full or leaving, and the request can go elsewhere.
+	refusalWeight = 0.5
+	// kindFailureGain is the weight of one outcome for the usual share of
+	// failures of a kind.
+	kindFailureGain = 0.02
+)
+
+func (t *Ticket) succeeded(now time.Time, m *serverModel, service *serviceModel) {
+	m.addFailure(now, 0)
+	service.addFailure(t.job.Kind, 0)
+	if t.job.Generates {
+		return
+	}
+	took := milliseconds(now.Sub(t.sent))
+	m.addSlow(now, took, t.expected)
+	work, seen := service.workByKind[t.job.Kind]
+	if !seen {
+		work = plainWork
+	}
+	service.workByKind[t.job.Kind] = work + kindWorkGain*(min(took, workOutlier*work)-work)
+}
+
+const (
+	// kindWorkGain is the weight of one observation of a kind's time.
+	kindWorkGain = 0.05
+	// workOutlier bounds one observation, in times of the mean.
+	workOutlier = 4.0
+)
+
+func (m *serverModel) addFailure(now time.Time, failed float64) {
+	m.failures = m.failuresNow(now)
+	m.failures += failureGain * (failed - m.failures)
+	m.failuresAt = now
+}
+
+func (s *serviceModel) addFailure(kind string, failed float64) {
+	s.failuresByKind[kind] += kindFailureGain * (failed - s.failuresByKind[kind])
+}
+
+// Report takes in a server's own figures of its running and waiting requests.
+func (p *Placer) Report(now time.Time, server string, running, waiting int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.model(server)
+	m.reportedAt = now
+	m.others = max(0, running+waiting-m.open)
+}
+
+// Slow notes that a server has shown nothing for a request so far.
+func (t *Ticket) Slow(now time.Time) {
+	t.placer.mu.Lock()
+	defer t.placer.mu.Unlock()
+	m := t.placer.model(t.server)
+	m.addSlow(now, milliseconds(now.Sub(t.sent)), t.expected+firstEventBase)
+}
