--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -33,12 +33,9 @@
 	sweepPoolInterval = 2 * time.Second
 	// drainPoll is how often a draining process looks whether it is idle.
 	drainPoll = 50 * time.Millisecond
-	// lameDuck is how long a draining process goes on at least: the balancer
-	// takes it out after two checks, a second apart, and connections are on
-	// their way then.
-	lameDuck = 3500 * time.Millisecond
-	// graceMargin is left of the grace for the end of the process itself.
-	graceMargin = 400 * time.Millisecond
+	// leaveRetryAfter is when a caller that was refused by a process about to
+	// end should ask another one: at once.
+	leaveRetryAfter = 20 * time.Millisecond
 	// readyTimeout bounds a readiness check's exchange.
 	readyTimeout = 2 * time.Second
 )
@@ -77,7 +74,7 @@
 	server   *Server
 	ingress  *ingress.Server
 	peers    *Peers
-	draining atomic.Bool
+	life     *life
 }
 
 // NewDaemon reads the settings and joins the parts.
@@ -89,6 +86,9 @@
 	d := &Daemon{platform: p, options: o, metrics: telemetry.New(), dir: directory.New()}
 	d.settings.Store(settings)
 	d.log = log.WithField("vm", settings.VM)
+	d.life = newLife(func(state string) {
+		d.log.WithFields(logrus.Fields{"event": "process_state", "state": state}).Info("process state")
+	})
 	placer := routing.NewPlacer(settings.DataCentre)
 	store := p.Store(func() string { return d.settings.Load().StoreAddress })
 	d.view = NewView(store, d.dir, clock.SinceBoot, d.log, placer.Forget)
@@ -100,11 +100,26 @@
 		Clock: clock.New(), Metrics: d.metrics, Log: d.log, Settings: d.settings.Load, Seed: o.Seed,
 	})
 	d.ingress = ingress.New(ingress.Config{
-		Handle: d.server.Handle, Limits: d.limits, Closing: d.draining.Load, Refused: d.refusedAtIngress,
+		Handle: d.handle, Limits: d.limits, Closing: d.closing, Refused: d.refusedAtIngress,
 	})
 	return d, nil
 }
 
+// closing reports whether callers should close their connections.
+func (d *Daemon) closing() bool {
+	state := d.life.state()
+	return state != stateStarting && state != stateServing
+}
+
+// handle serves a request, or refuses it when the process is about to end.
+func (d *Daemon) handle(ctx context.Context, in *ingress.Request, out *ingress.Answer) {
+	if state := d.life.state(); state == stateRefusing || state == stateStopped {
+		d.server.Refuse(in, out, "process_ends", leaveRetryAfter)
+		return
+	}
+	d.server.Handle(ctx, in, out)
+}
+
 // refusedAtIngress notes a request that could not be read.
 func (d *Daemon) refusedAtIngress(r ingress.Refusal) {
 	d.log.WithFields(logrus.Fields{"event": "request_refused", "status": r.Status, "reason": r.Reason}).Info("request refused before it was read")
@@ -181,7 +196,12 @@
 
 // readyz answers the balancer.
 func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
-	if d.draining.Load() || !d.server.Ready() {
+	if !d.server.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	d.life.ready()
+	if d.life.state() != stateServing {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -241,17 +261,15 @@
 	}
 }
 
-// drain is not ready at once but serves on until nothing is in flight, at the
-// longest until the grace ends.
+// drain ends the process as its chart says.
 func (d *Daemon) drain(ctx context.Context) {
-	d.draining.Store(true)
-	began := time.Now()
-	grace := d.settings.Load().Bounds.Grace - graceMargin
-	d.log.WithFields(logrus.Fields{"event": "draining", "in_flight": d.ingress.InFlight(), "connections": d.ingress.Connections()}).Info("draining")
-	for ctx.Err() == nil {
-		elapsed := time.Since(began)
-		if elapsed >= grace || elapsed >= lameDuck && d.ingress.InFlight() == 0 {
-			return
+	grace := d.settings.Load().Bounds.Grace
+	d.life.drain(d.server.deps.Clock.Now(), grace)
+	d.log.WithFields(logrus.Fields{"event": "draining", "in_flight": d.ingress.InFlight(), "connections": d.ingress.Connections(), "grace_ms": grace.Milliseconds()}).Info("draining")
+	for ctx.Err() == nil && d.life.state() != stateStopped {
+		d.life.advance(d.server.deps.Clock.Now(), d.ingress.InFlight())
+		if d.life.state() == stateRefusing {
+			d.ingress.CloseIdle()
 		}
 		clock.Sleep(ctx, drainPoll)
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -130,6 +130,16 @@
 	s.serve(ctx, req)
 }
 
+// Refuse answers a request that is not looked at as not run.
+func (s *Server) Refuse(in *ingress.Request, out *ingress.Answer, reason string, retryAfter time.Duration) {
+	call, err := s.deps.Codec.Decode(in)
+	if err != nil {
+		call = &Call{} // the answer is the same, but for its id
+	}
+	req := &request{Call: call, in: in, out: out, received: s.deps.Clock.Now(), log: s.deps.Log.WithField("request", call.ID)}
+	s.refuse(req, refuse(http.StatusServiceUnavailable, reason).after(retryAfter))
+}
+
 // admit finds the route, the account and the service of a request.
 func (s *Server) admit(ctx context.Context, req *request) *refusal {
 	req.table = s.deps.View.Table()
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -57,6 +58,8 @@
 	server *Server
 	nc     net.Conn
 	br     *bufio.Reader
+	// idle says that no byte of a request has come.
+	idle atomic.Bool
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -93,7 +96,9 @@
 		wait = max(limits.HeaderTimeout, limits.IdleTimeout)
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(wait)) // fails only on a closed connection
+	c.idle.Store(c.br.Buffered() == 0)
 	_, err := c.br.Peek(1)
+	c.idle.Store(false)
 	return err == nil
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -119,6 +119,17 @@
 	delete(s.conns, c)
 }
 
+// CloseIdle closes the connections that wait for a request.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.idle.Load() {
+			c.nc.Close()
+		}
+	}
+}
+
 // Close closes all connections.
 func (s *Server) Close() {
 	s.mu.Lock()
