Place by shared parts, harm to tight streams and what other gateways hold

Change: gateways tell each other what they hold and which parts they sent (datagrams, 100 ms); reading a part again that another engine holds counts thrice; a long prompt counts by the tight streams beside it; pools are sized by the tokens that no cache saves. No assumption of slowness for engines: a first event that waited for others looked like a slow engine and moved parts.

Found besides: with fewer than four servers a tight job had no owner for its first part and the process ended; TestFewServersHaveNoPools.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -94,10 +94,11 @@
 	d.view = NewView(store, d.dir, clock.SinceBoot, d.log, placer.Forget)
 	dialed := d.metrics.Counter("sesame_gateway_connections_opened_total")
 	d.pool = upstream.New(upstream.Config{Dialed: func(string) { dialed.Inc(1) }})
-	d.peers = NewPeers(settings, o.Seed, d.log)
+	steady := clock.New()
+	d.peers = NewPeers(settings, placer, steady, d.log)
 	d.server = NewServer(Dependencies{
 		Codec: p.Codec, View: d.view, Directory: d.dir, Placer: placer, Pool: d.pool, Gateways: d.peers,
-		Clock: clock.New(), Metrics: d.metrics, Log: d.log, Settings: d.settings.Load, Seed: o.Seed,
+		Clock: steady, Metrics: d.metrics, Log: d.log, Settings: d.settings.Load, Seed: o.Seed,
 	})
 	d.ingress = ingress.New(ingress.Config{
 		Handle: d.handle, Limits: d.limits, Closing: d.closing, Refused: d.refusedAtIngress,
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -37,7 +37,11 @@
 	// failure is the last failure that a backend server vouched for.
 	failure *failure
 	firstAt time.Duration
-	buf     []byte
+	// lastEventAt is when an event was passed on last, and longestPause the
+	// longest time between two.
+	lastEventAt  time.Time
+	longestPause time.Duration
+	buf          []byte
 }
 
 // failure is a whole answer that says that the request failed.
@@ -208,6 +212,9 @@
 		d.firstAt = d.server.since(d.req)
 		d.req.out.Head(ex.Answer.StatusCode, d.server.deps.Codec.Pass(ex.Answer.Header), -1)
 	}
+	if len(whole) > 0 {
+		d.notePause()
+	}
 	if last {
 		ok := d.req.out.End(whole)
 		d.done(ok)
@@ -216,12 +223,21 @@
 	return len(whole) == 0 || d.req.out.Write(whole)
 }
 
+// notePause notes the time since the event before.
+func (d *delivery) notePause() {
+	now := d.server.deps.Clock.Now()
+	if !d.lastEventAt.IsZero() {
+		d.longestPause = max(d.longestPause, now.Sub(d.lastEventAt))
+	}
+	d.lastEventAt = now
+}
+
 // done notes that the whole answer was given.
 func (d *delivery) done(taken bool) {
 	took := d.server.since(d.req)
 	d.server.meters.completed(d.req.route.Name, took, d.firstAt)
 	d.req.log.WithFields(logrus.Fields{
 		"event": "answer_completed", "status": d.status, "taken": taken, "first_ms": d.firstAt.Milliseconds(),
-		"after_ms": took.Milliseconds(), "events": d.events(), "sends": d.req.sends,
+		"after_ms": took.Milliseconds(), "pause_ms": d.longestPause.Milliseconds(), "route": d.req.route.Name, "events": d.events(), "sends": d.req.sends,
 	}).Info("answer completed")
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/deployment"
+	"github.com/sesameswitch/sesameswitch/routing"
 )
 
 const (
@@ -27,6 +28,15 @@
 	maxHelloBytes = 1400
 	// hellosPerRound is how many gateways are greeted in one interval.
 	hellosPerRound = 6
+	// shareInterval is how often a gateway tells what it holds, for up to
+	// shareGateways of them: prompts are read in some hundred milliseconds.
+	shareInterval = 100 * time.Millisecond
+	shareGateways = 24
+	// maxHintBytes bounds the hints of one datagram; hintBytes and partBytes
+	// are what one takes besides its names.
+	maxHintBytes = 1200
+	hintBytes    = 48
+	partBytes    = 24
 	// unknownGateways is how many gateways are assumed before others were
 	// heard: a gateway alone must not use up what all may use together.
 	unknownGateways = 8
@@ -39,6 +49,17 @@
 	From string `json:"from"`
 	// Known are addresses of some gateways that the sender heard.
 	Known []string `json:"known,omitempty"`
+	// Hints are what the sender holds at backend servers.
+	Hints []routing.Hint `json:"hints,omitempty"`
+}
+
+// Hints exchanges what gateways hold at backend servers.
+type Hints interface {
+	// Hints returns what this gateway holds, and what it sent since the last
+	// call.
+	Hints(now time.Time) []routing.Hint
+	// TakeHints takes in another gateway's.
+	TakeHints(now time.Time, from string, hints []routing.Hint)
 }
 
 // Peers knows the other gateways from datagrams. It is safe for concurrent use.
@@ -54,15 +75,15 @@
 	// heard is when each gateway was heard of last, by its address; a gateway
 	// that was only named by others has the zero time.
 	heard   map[string]time.Time
+	hints   Hints
 	turn    int
 	started time.Time
 }
 
 // NewPeers returns the peers of a gateway that has heard nobody.
-func NewPeers(settings *deployment.Settings, _ uint64, log *logrus.Entry) *Peers {
-	c := clock.New()
+func NewPeers(settings *deployment.Settings, hints Hints, c clock.Clock, log *logrus.Entry) *Peers {
 	return &Peers{
-		address: settings.PeerAddress, seeds: settings.Seeds, log: log, clock: c,
+		address: settings.PeerAddress, seeds: settings.Seeds, log: log, clock: c, hints: hints,
 		heard: make(map[string]time.Time), started: c.Now(),
 	}
 }
@@ -109,15 +130,73 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	go clock.Every(ctx, helloInterval, func() { p.greet(conn) })
+	go p.share(ctx, conn)
 	p.receive(conn)
 }
 
+// share tells the others what this gateway holds, until the context ends.
+func (p *Peers) share(ctx context.Context, conn *net.UDPConn) {
+	for clock.Sleep(ctx, p.shareInterval()) {
+		targets := p.live()
+		if len(targets) == 0 {
+			continue
+		}
+		for _, part := range splitHints(p.hints.Hints(p.clock.Now())) {
+			p.send(conn, targets, hello{From: p.address, Hints: part})
+		}
+	}
+}
+
+// shareInterval grows with the gateways, so that each one's messages do not.
+func (p *Peers) shareInterval() time.Duration {
+	return shareInterval * time.Duration(1+p.Live()/shareGateways)
+}
+
+// live returns the gateways that were heard lately.
+func (p *Peers) live() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	var live []string
+	for address, at := range p.heard {
+		if now.Sub(at) < peerTimeout {
+			live = append(live, address)
+		}
+	}
+	return live
+}
+
+// splitHints divides hints so that each part fits into a datagram.
+func splitHints(hints []routing.Hint) [][]routing.Hint {
+	var parts [][]routing.Hint
+	size, from := 0, 0
+	for i := range hints {
+		weight := hintBytes + len(hints[i].Server)
+		for _, part := range hints[i].Parts {
+			weight += partBytes + len(part.ID)
+		}
+		if size += weight; size > maxHintBytes && i > from {
+			parts = append(parts, hints[from:i])
+			size, from = weight, i
+		}
+	}
+	if from < len(hints) {
+		parts = append(parts, hints[from:])
+	}
+	return parts
+}
+
 // greet sends a round of hellos.
 func (p *Peers) greet(conn *net.UDPConn) {
 	targets, message := p.round()
+	p.send(conn, targets, message)
+}
+
+// send sends one message to several gateways.
+func (p *Peers) send(conn *net.UDPConn, targets []string, message hello) {
 	content, err := json.Marshal(message)
 	if err != nil || len(content) > maxHelloBytes {
-		p.log.WithError(err).WithFields(logrus.Fields{"event": "hello_failed", "bytes": len(content)}).Error("a hello cannot be sent")
+		p.log.WithError(err).WithFields(logrus.Fields{"event": "hello_failed", "bytes": len(content)}).Error("a message to other gateways cannot be sent")
 		return
 	}
 	for _, target := range targets {
@@ -186,7 +265,11 @@
 	if at, known := p.heard[message.From]; !known || at.IsZero() {
 		p.log.WithFields(logrus.Fields{"event": "peer_heard", "peer": message.From}).Info("gateway heard")
 	}
-	p.heard[message.From] = p.clock.Now()
+	now := p.clock.Now()
+	p.heard[message.From] = now
+	if len(message.Hints) > 0 {
+		p.hints.TakeHints(now, message.From, message.Hints)
+	}
 	for _, address := range message.Known {
 		_, known := p.heard[address]
 		if _, err := netip.ParseAddrPort(address); err != nil || known || address == p.address || len(p.heard) >= maxPeers {
--- /dev/null
+++ b/routing/hint.go
@@ -0,0 +1,64 @@
+package routing
+
+import "time"
+
+// Hint is what one gateway holds at one server. Gateways tell each other, as
+// each sees its own requests only.
+type Hint struct {
+	Server string `json:"s"`
+	// Open and Held are its requests and their tokens.
+	Open int `json:"o,omitempty"`
+	Held int `json:"h,omitempty"`
+	// Unread are the prompt tokens without a first event.
+	Unread int `json:"u,omitempty"`
+	// Tight are its streams with the shortest pauses.
+	Tight int `json:"t,omitempty"`
+	// Parts were sent there since the last hint.
+	Parts []Part `json:"p,omitempty"`
+	// Memory is how many tokens the server holds in all.
+	Memory int `json:"m,omitempty"`
+}
+
+// hinted is a hint with the time when it came.
+type hinted struct {
+	Hint
+	at time.Time
+}
+
+// maxHintParts bounds the parts of one hint.
+const maxHintParts = 16
+
+// Hints returns what this gateway holds at each server, and the parts that it
+// sent there since the last call. Servers that it stopped using are told once
+// more.
+func (p *Placer) Hints(_ time.Time) []Hint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var hints []Hint
+	for id, m := range p.servers {
+		if m.open == 0 && len(m.fresh) == 0 && !m.told {
+			continue
+		}
+		m.told = m.open > 0
+		if len(m.fresh) > maxHintParts {
+			m.fresh = m.fresh[len(m.fresh)-maxHintParts:]
+		}
+		hints = append(hints, Hint{Server: id, Open: m.open, Held: m.held, Unread: m.unread, Tight: m.tight, Parts: m.fresh, Memory: m.memory})
+		m.fresh = nil
+	}
+	return hints
+}
+
+// TakeHints takes in what another gateway holds.
+func (p *Placer) TakeHints(now time.Time, from string, hints []Hint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range hints {
+		m := p.servers[h.Server]
+		if m == nil {
+			m = p.model(h.Server)
+		}
+		m.others[from] = hinted{Hint: h, at: now}
+		m.remember(now, h.Parts, h.Memory)
+	}
+}
--- a/routing/placer.go
+++ b/routing/placer.go
@@ -20,22 +20,31 @@
 
 const (
 	// defaultReadPace is how many prompt tokens an engine reads in a
-	// millisecond until its own answers tell; half of a current engine.
-	defaultReadPace = 30.0
-	// paceQuantile is the weight of one observation of the reading pace.
+	// millisecond until its own answers tell; that of a current engine.
+	defaultReadPace = 60.0
+	// placerPaceGain is the weight of one observation of the reading pace.
 	placerPaceGain = 0.1
 	// waitingShare is how much the prompt tokens that wait at a server delay a
 	// new request: they are read in turns, not one prompt after the other.
-	waitingShare = 0.6
+	waitingShare = 0.35
+	// againCost is what reading a shared part again that another server holds
+	// counts besides the time of the request itself: it delays all others there.
+	againCost = 2.0
 	// openCost is what each open request at an engine adds to the time of a new
 	// one, in milliseconds: a larger batch makes each step longer.
-	openCost = 4.0
+	openCost = 2.0
 	// remoteCost is what a server in another data centre counts more, in
 	// milliseconds: bytes between data centres are priced.
 	remoteCost = 20.0
 	// crossingCost is what a server of the other pool counts more, in
 	// milliseconds: a long prompt beside a stream delays its next event.
 	crossingCost = 60.0
+	// harmCost is what a stream counts that pauses too long, in milliseconds.
+	harmCost = 100.0
+	// harmfulRead is how long prompts must be read without a break for the
+	// pauses beside them to become too long, in milliseconds: a few steps of an
+	// engine, each with a chunk of a prompt, for the tokens of one event.
+	harmfulRead = 150.0
 	// failureCost is what a server counts more that fails each request, in
 	// milliseconds: a failed request is worth nothing, however early.
 	failureCost = 4000.0
@@ -47,6 +56,9 @@
 	slowMemory = 4 * time.Second
 	slowGain   = 0.25
 	maxSlow    = 30.0
+	// hintMemory is how long another gateway's word on its own requests counts:
+	// five of its messages.
+	hintMemory = 600 * time.Millisecond
 	// reportMemory is how long a server's own figures count.
 	reportMemory = 700 * time.Millisecond
 	// demandMemory is the half-life of the demand that sizes the pools.
@@ -63,8 +75,8 @@
 
 // Part is one part of a prompt.
 type Part struct {
-	ID     string
-	Tokens int
+	ID     string `json:"i"`
+	Tokens int    `json:"t"`
 }
 
 // Job is what the choice of a server depends on.
@@ -88,6 +100,15 @@
 	MemoryTokens int
 }
 
+// ownTokens is the part of the prompt that no other request shares.
+func (j *Job) ownTokens() int {
+	own := j.PromptTokens
+	for _, part := range j.Parts {
+		own -= part.Tokens
+	}
+	return max(0, own)
+}
+
 // Server is a candidate.
 type Server struct {
 	ID         string
@@ -133,7 +154,7 @@
 	failuresByKind map[string]float64
 	// pauses are the pause goals seen, by kind.
 	pauses map[string]time.Duration
-	// demand is the decayed reading time asked for, by pool.
+	// demand are the decayed prompt tokens that no cache saves, by pool.
 	demand   [2]float64
 	demandAt time.Time
 }
@@ -167,13 +188,13 @@
 	return j.MaxPause <= limit && most > limit
 }
 
-// addDemand counts the reading time of a job for the size of the pools.
-func (s *serviceModel) addDemand(now time.Time, tight bool, read float64) {
+// addDemand counts the tokens of a job for the size of the pools.
+func (s *serviceModel) addDemand(now time.Time, tight bool, tokens float64) {
 	decay := halfLife(now.Sub(s.demandAt), demandMemory)
 	s.demandAt = now
 	s.demand[0] *= decay
 	s.demand[1] *= decay
-	s.demand[poolIndex(tight)] += read
+	s.demand[poolIndex(tight)] += tokens
 }
 
 func poolIndex(tight bool) int {
@@ -240,17 +261,16 @@
 	defer p.mu.Unlock()
 	service := p.service(j.Service)
 	tight := service.tight(j)
-	pool := poolOf(servers, service.tightServers(len(servers)))
-	home := -1
-	if len(j.Parts) > 0 {
-		home = owner(servers, pool, tight, j.Parts[0].ID)
-	}
+	tightServers := service.tightServers(len(servers))
+	pool := poolOf(servers, tightServers)
+	tight = tight && tightServers > 0
+	home, least := p.readings(j, servers, pool, tight)
 	best := Choice{Index: -1}
 	for i := range servers {
 		if excluded[servers[i].ID] {
 			continue
 		}
-		c := p.weigh(now, j, service, &servers[i], i == home)
+		c := p.weigh(now, j, service, &servers[i], i == home, tight, least)
 		if pool[i] != tight && j.Generates {
 			c.Penalty += crossingCost
 		}
@@ -263,24 +283,48 @@
 	return best, best.Index >= 0
 }
 
+// readings returns the server that is taken to hold the job's first part when
+// none is known to, or -1, and the least tokens that any server must read.
+func (p *Placer) readings(j *Job, servers []Server, pool []bool, tight bool) (home, least int) {
+	home, least = -1, j.PromptTokens
+	if len(j.Parts) == 0 {
+		return home, least
+	}
+	known := false
+	for i := range servers {
+		m := p.model(servers[i].ID)
+		known = known || m.parts[j.Parts[0].ID] != nil
+		least = min(least, m.uncached(j, false))
+	}
+	if known {
+		return home, least
+	}
+	if home = owner(servers, pool, tight, j.Parts[0].ID); home < 0 {
+		return home, least
+	}
+	return home, p.model(servers[home].ID).uncached(j, true)
+}
+
 // weigh estimates the job's cost at one server.
-func (p *Placer) weigh(now time.Time, j *Job, service *serviceModel, s *Server, home bool) Choice {
+func (p *Placer) weigh(now time.Time, j *Job, service *serviceModel, s *Server, assumed, tight bool, least int) Choice {
 	m := p.model(s.ID)
+	l := m.load(now)
 	c := Choice{}
 	if j.Generates {
-		c.Uncached = m.uncached(now, j, home)
-		c.Read = float64(c.Uncached) / service.readPace
-		c.Wait = waitingShare*float64(m.unread)/service.readPace + openCost*float64(m.openNow(now))
-		c.Wait += m.memoryWait(j, service)
+		c.Uncached = m.uncached(j, false)
+		read := m.uncached(j, assumed)
+		c.Read = float64(read) / service.readPace
+		c.Penalty += againCost * float64(max(0, read-least)) / service.readPace
+		c.Wait = waitingShare*float64(l.unread)/service.readPace + openCost*float64(l.open)
+		c.Wait += memoryWait(l.held, j, service)
+		c.Penalty += harm(l, tight, c.Read, service)
 	} else {
-		work := service.workOf(j.Kind)
+		work := service.workOf(j.Kind) * m.slowNow(now)
+		slots := float64(max(1, s.Slots))
 		c.Read = work
-		c.Wait = work * max(0, float64(m.openNow(now)+1)-float64(max(1, s.Slots))) / float64(max(1, s.Slots))
-		c.Wait += work * float64(m.openNow(now)) / float64(max(1, s.Slots)) / 2
+		c.Wait = work * (max(0, float64(l.open+1)-slots)/slots + float64(l.open)/slots/2)
 	}
-	slow := m.slowNow(now)
-	c.Read, c.Wait = c.Read*slow, c.Wait*slow
-	c.Penalty = failureCost * m.failuresNow(now)
+	c.Penalty += failureCost * m.failuresNow(now)
 	if s.DataCentre != p.dataCentre {
 		c.Penalty += remoteCost
 	}
@@ -294,6 +338,16 @@
 	return plainWork
 }
 
+// harm is what streams that must not pause lose when a long prompt is read
+// beside them: those that are open at the server, or the job itself.
+func harm(l load, tight bool, read float64, service *serviceModel) float64 {
+	waiting := float64(l.unread) / service.readPace
+	if tight {
+		return harmCost * min(1, waiting/harmfulRead)
+	}
+	return harmCost * float64(l.tight) * min(1, (read+waiting)/harmfulRead)
+}
+
 // Forget drops what is known of servers that are gone.
 func (p *Placer) Forget(gone string) {
 	p.mu.Lock()
--- /dev/null
+++ b/routing/placer_test.go
@@ -0,0 +1,189 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// nineEngines are the candidates of a small deployment.
+func nineEngines() []Server {
+	servers := make([]Server, 9)
+	for i := range servers {
+		servers[i] = Server{ID: fmt.Sprintf("engine-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), Slots: 64}
+	}
+	return servers
+}
+
+func comparison(part string) *Job {
+	return &Job{
+		Kind: "comparison", Service: "engines", Generates: true, Parts: []Part{{ID: part, Tokens: 13_300}},
+		PromptTokens: 17_000, OutputTokens: 120, MaxPause: 800 * time.Millisecond, MemoryTokens: 567_000,
+	}
+}
+
+func question() *Job {
+	return &Job{
+		Kind: "question", Service: "engines", Generates: true, PromptTokens: 1_100, OutputTokens: 170,
+		MaxPause: 200 * time.Millisecond, MemoryTokens: 567_000,
+	}
+}
+
+func choose(t *testing.T, p *Placer, now time.Time, j *Job, servers []Server) (string, Choice) {
+	t.Helper()
+	c, ok := p.Choose(now, j, servers, nil)
+	if !ok {
+		t.Fatal("no server was chosen")
+	}
+	return servers[c.Index].ID, c
+}
+
+// TestPlacersAgreeOnNewParts shows that gateways that never talked send the same
+// new part to the same server, wherever they are.
+func TestPlacersAgreeOnNewParts(t *testing.T) {
+	servers := nineEngines()
+	for part := range 50 {
+		id := fmt.Sprintf("part-%d", part)
+		first, _ := choose(t, NewPlacer("dc-0"), epoch, comparison(id), servers)
+		second, _ := choose(t, NewPlacer("dc-2"), epoch, comparison(id), servers)
+		if first != second {
+			t.Errorf("%s: %s and %s", id, first, second)
+		}
+	}
+}
+
+// TestFewPartsMoveWhenAServerComes bounds what must be read again.
+func TestFewPartsMoveWhenAServerComes(t *testing.T) {
+	before := nineEngines()
+	after := append(nineEngines(), Server{ID: "engine-new", DataCentre: "dc-0", Slots: 64})
+	moved := 0
+	for part := range 200 {
+		id := fmt.Sprintf("part-%d", part)
+		first, _ := choose(t, NewPlacer("dc-0"), epoch, comparison(id), before)
+		second, _ := choose(t, NewPlacer("dc-0"), epoch, comparison(id), after)
+		if first != second && second != "engine-new" {
+			t.Errorf("%s moved from %s to %s", id, first, second)
+		}
+		if first != second {
+			moved++
+		}
+	}
+	if moved > 60 {
+		t.Errorf("%d of 200 parts moved for one server more in ten", moved)
+	}
+}
+
+// TestPartsStayWhereTheyWereRead replays a burst of one kind: as long as the
+// server that holds the part is not far behind, no other one reads it again.
+func TestPartsStayWhereTheyWereRead(t *testing.T) {
+	servers := nineEngines()
+	p := NewPlacer("dc-0")
+	first, c := choose(t, p, epoch, comparison("part"), servers)
+	p.Sent(epoch, comparison("part"), first, c)
+	for range 4 {
+		next, c := choose(t, p, epoch.Add(10*time.Millisecond), comparison("part"), servers)
+		if next != first {
+			t.Fatalf("read again at %s", next)
+		}
+		p.Sent(epoch.Add(10*time.Millisecond), comparison("part"), next, c)
+	}
+}
+
+// TestHotPartSpreads shows that a part that is asked for faster than one server
+// can serve it is read at others too.
+func TestHotPartSpreads(t *testing.T) {
+	servers := nineEngines()
+	p := NewPlacer("dc-0")
+	used := map[string]bool{}
+	for range 60 {
+		id, c := choose(t, p, epoch, comparison("hot"), servers)
+		p.Sent(epoch, comparison("hot"), id, c)
+		used[id] = true
+	}
+	if len(used) < 3 {
+		t.Errorf("60 requests at once went to %d servers", len(used))
+	}
+}
+
+// TestLongPromptsKeepAwayFromTightStreams replays the load that made streams
+// with short pauses late: a long prompt is not read beside many of them while
+// another server is free.
+func TestLongPromptsKeepAwayFromTightStreams(t *testing.T) {
+	servers := nineEngines()
+	p := NewPlacer("dc-0")
+	tight := map[string]bool{}
+	for i := range 40 {
+		now := epoch.Add(time.Duration(i) * 20 * time.Millisecond)
+		id, c := choose(t, p, now, question(), servers)
+		p.Sent(now, question(), id, c).FirstEvent(now.Add(15 * time.Millisecond))
+		if i >= 20 {
+			tight[id] = true
+		}
+		id, c = choose(t, p, now, comparison(fmt.Sprintf("part-%d", i)), servers)
+		ticket := p.Sent(now, comparison("part"), id, c)
+		ticket.FirstEvent(now)
+		ticket.Ended(now, Succeeded)
+		if i >= 20 && tight[id] {
+			t.Errorf("prompt %d is read at %s beside streams with short pauses", i, id)
+		}
+	}
+	if len(tight) > 4 {
+		t.Errorf("streams with short pauses are spread over %d servers", len(tight))
+	}
+}
+
+// TestFewServersHaveNoPools is a regression: with fewer servers than pools need,
+// a tight job had no owner for its first part and the process ended.
+func TestFewServersHaveNoPools(t *testing.T) {
+	for n := 1; n <= 4; n++ {
+		servers := nineEngines()[:n]
+		p := NewPlacer("dc-0")
+		tight := question()
+		tight.Parts = []Part{{ID: "a", Tokens: 300}}
+		for _, j := range []*Job{comparison("part"), tight, comparison("part"), tight} {
+			id, c := choose(t, p, epoch, j, servers)
+			p.Sent(epoch, j, id, c)
+		}
+	}
+}
+
+// TestFailingServerIsLeftAndTriedAgain replays a server that fails its requests.
+func TestFailingServerIsLeftAndTriedAgain(t *testing.T) {
+	servers := []Server{{ID: "a", DataCentre: "dc-0", Slots: 6}, {ID: "b", DataCentre: "dc-1", Slots: 6}}
+	job := &Job{Kind: "booking", Service: "app"}
+	p := NewPlacer("dc-0")
+	for i := range 3 {
+		now := epoch.Add(time.Duration(i) * 50 * time.Millisecond)
+		_, c := choose(t, p, now, job, servers[:1])
+		p.Sent(now, job, "a", c).Ended(now, Failed)
+	}
+	if id, _ := choose(t, p, epoch.Add(time.Second), job, servers); id != "b" {
+		t.Errorf("a server that failed three requests gets the next: %s", id)
+	}
+	if id, _ := choose(t, p, epoch.Add(time.Minute), job, servers); id != "a" {
+		t.Errorf("a server that failed a minute ago is not tried again: %s", id)
+	}
+}
+
+// TestHintsTellWhereOthersSentParts shows that a gateway uses what another one
+// sent, and counts what it holds.
+func TestHintsTellWhereOthersSentParts(t *testing.T) {
+	servers := nineEngines()
+	one, other := NewPlacer("dc-0"), NewPlacer("dc-1")
+	elsewhere := servers[0].ID
+	if id, _ := choose(t, one, epoch, comparison("part"), servers); id == elsewhere {
+		elsewhere = servers[1].ID
+	}
+	other.Sent(epoch, comparison("part"), elsewhere, Choice{Uncached: 17_000})
+	one.TakeHints(epoch, "other", other.Hints(epoch))
+	id, c := choose(t, one, epoch, comparison("part"), servers)
+	if id != elsewhere || c.Uncached != 17_000-13_300 {
+		t.Errorf("chose %s with %d tokens to read, the other gateway sent it to %s", id, c.Uncached, elsewhere)
+	}
+	if l := one.model(elsewhere).load(epoch); l.unread != 17_000 || l.open != 1 {
+		t.Errorf("the other gateway's load is %+v", l)
+	}
+	if l := one.model(elsewhere).load(epoch.Add(time.Second)); l.unread != 0 {
+		t.Errorf("a hint counts a second later: %+v", l)
+	}
+}
--- a/routing/server.go
+++ b/routing/server.go
@@ -21,10 +21,20 @@
 	held int
 	// unread are the prompt tokens of open requests without a first event.
 	unread int
+	// tight are the open streams with the shortest pauses.
+	tight int
 
 	reportedAt time.Time
-	// others is how many requests of other gateways the last report implied.
-	others int
+	// reported is how many requests of others the server's last report implied.
+	reported int
+	// others is what other gateways said that they hold there.
+	others map[string]hinted
+	// fresh are the parts that this gateway sent there since its last hints.
+	fresh []Part
+	// told says that the last hints named the server.
+	told bool
+	// memory is how many tokens the server holds in all; zero is unknown.
+	memory int
 
 	failures   float64
 	failuresAt time.Time
@@ -41,18 +51,18 @@
 func (p *Placer) model(id string) *serverModel {
 	m := p.servers[id]
 	if m == nil {
-		m = &serverModel{parts: make(map[string]*list.Element), order: list.New(), slow: 1}
+		m = &serverModel{parts: make(map[string]*list.Element), order: list.New(), slow: 1, others: make(map[string]hinted)}
 		p.servers[id] = m
 	}
 	return m
 }
 
 // uncached returns how many tokens of the job's prompt the server must read.
-// The owner of the first part is taken to have it: other gateways sent it there.
-func (m *serverModel) uncached(_ time.Time, j *Job, home bool) int {
+// Where assumed is true the first part counts as there.
+func (m *serverModel) uncached(j *Job, assumed bool) int {
 	left := j.PromptTokens
 	for i, part := range j.Parts {
-		if m.parts[part.ID] == nil && !(home && i == 0) {
+		if m.parts[part.ID] == nil && !(assumed && i == 0) {
 			break
 		}
 		left -= part.Tokens
@@ -60,9 +70,11 @@
 	return max(0, left)
 }
 
-// remember notes that the server reads the parts of a job.
-func (m *serverModel) remember(now time.Time, j *Job) {
-	for _, part := range j.Parts {
+// remember notes that the server reads the parts of a prompt. memory is how many
+// tokens it holds in all.
+func (m *serverModel) remember(now time.Time, parts []Part, memory int) {
+	held := m.load(now).held
+	for _, part := range parts {
 		if e := m.parts[part.ID]; e != nil {
 			e.Value.(*cachedPart).used = now
 			m.order.MoveToFront(e)
@@ -71,7 +83,7 @@
 		m.parts[part.ID] = m.order.PushFront(&cachedPart{id: part.ID, tokens: part.Tokens, used: now})
 		m.cached += part.Tokens
 	}
-	for m.order.Len() > maxCachedParts || j.MemoryTokens > 0 && m.cached+m.held > j.MemoryTokens && m.order.Len() > 0 {
+	for m.order.Len() > maxCachedParts || memory > 0 && m.cached+held > memory && m.order.Len() > 0 {
 		m.evict()
 	}
 }
@@ -85,27 +97,45 @@
 	m.cached -= part.tokens
 }
 
-// memoryWait is the time, in milliseconds, that a job waits for memory when the
-// server is full of running requests.
-func (m *serverModel) memoryWait(j *Job, service *serviceModel) float64 {
-	if j.MemoryTokens == 0 {
-		return 0
+// load is what a server holds.
+type load struct {
+	open, held, unread int
+	// tight are the open streams with the shortest pauses.
+	tight int
+}
+
+// load returns what all gateways together hold at the server, as far as this
+// one knows.
+func (m *serverModel) load(now time.Time) load {
+	l := load{open: m.open, held: m.held, unread: m.unread, tight: m.tight}
+	for _, h := range m.others {
+		if now.Sub(h.at) < hintMemory {
+			l.open += h.Open
+			l.held += h.Held
+			l.unread += h.Unread
+			l.tight += h.Tight
+		}
 	}
-	over := m.held + j.PromptTokens + j.OutputTokens - j.MemoryTokens
-	if over <= 0 {
-		return 0
+	if now.Sub(m.reportedAt) < reportMemory {
+		l.open = max(l.open, m.open+m.reported)
 	}
-	return float64(over) / service.readPace * 2
+	return l
 }
 
-// openNow is how many requests the server is expected to hold.
-func (m *serverModel) openNow(now time.Time) int {
-	if now.Sub(m.reportedAt) < reportMemory {
-		return m.open + m.others
+// memoryWait is the time, in milliseconds, that a job waits for memory when the
+// server is full of running requests.
+func memoryWait(held int, j *Job, service *serviceModel) float64 {
+	over := held + j.PromptTokens + j.OutputTokens - j.MemoryTokens
+	if j.MemoryTokens == 0 || over <= 0 {
+		return 0
 	}
-	return m.open
+	return memoryCost * float64(over) / service.readPace
 }
 
+// memoryCost weighs tokens that do not fit against tokens to be read: a running
+// request must end, or be read in again, before there is room.
+const memoryCost = 2.0
+
 // failuresNow is the share of requests that the server fails beyond what is
 // usual for their kinds.
 func (m *serverModel) failuresNow(now time.Time) float64 {
@@ -144,6 +174,7 @@
 	expected float64
 	tokens   int
 	reading  bool
+	tight    bool
 	ended    bool
 }
 
@@ -162,9 +193,14 @@
 	}
 	m.held += t.tokens
 	m.unread += c.Uncached
-	m.remember(now, j)
+	m.memory = j.MemoryTokens
+	m.fresh = append(m.fresh, j.Parts...)
+	m.remember(now, j.Parts, j.MemoryTokens)
 	service := p.service(j.Service)
-	service.addDemand(now, service.tight(j), float64(c.Uncached)/service.readPace)
+	if t.tight = service.tight(j); t.tight {
+		m.tight++
+	}
+	service.addDemand(now, t.tight, float64(j.ownTokens()))
 	return t
 }
 
@@ -176,7 +212,7 @@
 	t.read(m)
 	took := milliseconds(now.Sub(t.sent))
 	service := t.placer.service(t.job.Service)
-	if t.uncached > minPaceSample && m.open == 1 {
+	if t.uncached > minPaceSample && m.load(now).open == 1 {
 		pace := float64(t.uncached) / max(1, took)
 		service.readPace += placerPaceGain * (pace - service.readPace)
 	}
@@ -226,6 +262,9 @@
 	if t.job.Generates {
 		m.held = max(0, m.held-t.tokens)
 	}
+	if t.tight {
+		m.tight = max(0, m.tight-1)
+	}
 	service := t.placer.service(t.job.Service)
 	switch result {
 	case Succeeded:
@@ -288,7 +327,7 @@
 	defer p.mu.Unlock()
 	m := p.model(server)
 	m.reportedAt = now
-	m.others = max(0, running+waiting-m.open)
+	m.reported = max(0, running+waiting-m.open)
 }
 
 // Slow notes that a server has shown nothing for a request so far.
