Copy shared parts from engines that hold them; refuse retired keys without a read

Keys and routes that an earlier version had are refused at once. Messages between gateways are msgpack arrays. Pools are known from the configuration before any demand was seen.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -52,6 +52,8 @@
 type target struct {
 	server *directory.BackendServer
 	choice routing.Choice
+	// fetchFrom is the address of the server whose memory is copied from.
+	fetchFrom string
 }
 
 // serve makes one attempt after another until the final answer is given.
@@ -138,7 +140,13 @@
 	if !ok {
 		return target{}, false
 	}
-	return target{server: usable[choice.Index], choice: choice}, true
+	chosen := target{server: usable[choice.Index], choice: choice}
+	for _, b := range usable {
+		if b.ID == choice.FetchFrom {
+			chosen.fetchFrom = b.Address
+		}
+	}
+	return chosen, true
 }
 
 // attempt sends the request to one backend server and passes its answer on.
@@ -155,12 +163,12 @@
 	if req.account != nil {
 		account = req.account.Name
 	}
-	send := &Send{Server: chosen.server.ID, Account: account, Deadline: left, Urgency: req.urgency(), ResumeAfter: st.resumeAfter()}
+	send := &Send{Server: chosen.server.ID, Account: account, Deadline: left, Urgency: req.urgency(), ResumeAfter: st.resumeAfter(), FetchFrom: chosen.fetchFrom}
 	req.log.WithFields(logrus.Fields{
 		"event": "attempt_sent", "server": chosen.server.ID, "address": chosen.server.Address, "route": req.route.Name,
 		"version": req.table.Version, "view_age_ms": s.deps.View.Age().Milliseconds(), "left_ms": left.Milliseconds(), "urgency": send.Urgency,
 		"cost_ms": int(chosen.choice.Cost), "read_ms": int(chosen.choice.Read), "wait_ms": int(chosen.choice.Wait), "penalty_ms": int(chosen.choice.Penalty),
-		"resume_after": send.ResumeAfter, "sends": req.sends,
+		"resume_after": send.ResumeAfter, "fetch_from": chosen.choice.FetchFrom, "sends": req.sends,
 	}).Info("attempt sent")
 	ticket := s.deps.Placer.Sent(sent, &req.job, chosen.server.ID, chosen.choice)
 	result, cause := s.exchange(ctx, req, st, &outgoing{target: chosen, send: send, ticket: ticket})
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -91,7 +91,7 @@
 	})
 	placer := routing.NewPlacer(settings.DataCentre)
 	store := p.Store(func() string { return d.settings.Load().StoreAddress })
-	d.view = NewView(store, d.dir, clock.SinceBoot, d.log, placer.Forget)
+	d.view = NewView(store, d.dir, clock.SinceBoot, d.log, placer.Forget, func(t *routes.Table) { placer.SetPauses(pauseGoals(t)) })
 	dialed := d.metrics.Counter("sesame_gateway_connections_opened_total")
 	d.pool = upstream.New(upstream.Config{Dialed: func(string) { dialed.Inc(1) }})
 	steady := clock.New()
@@ -121,6 +121,22 @@
 	d.server.Handle(ctx, in, out)
 }
 
+// pauseGoals returns the longest pauses of each service's streams by route.
+func pauseGoals(t *routes.Table) map[string]map[string]time.Duration {
+	goals := make(map[string]map[string]time.Duration)
+	for name, r := range t.Routes() {
+		for _, target := range r.Targets {
+			if r.MaxPause > 0 && t.Service(target.Service).Engine != nil {
+				if goals[target.Service] == nil {
+					goals[target.Service] = make(map[string]time.Duration)
+				}
+				goals[target.Service][name] = r.MaxPause
+			}
+		}
+	}
+	return goals
+}
+
 // refusedAtIngress notes a request that could not be read.
 func (d *Daemon) refusedAtIngress(r ingress.Refusal) {
 	d.log.WithFields(logrus.Fields{"event": "request_refused", "status": r.Status, "reason": r.Reason}).Info("request refused before it was read")
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/netip"
 	"sync"
@@ -10,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/deployment"
@@ -30,13 +30,13 @@
 	hellosPerRound = 6
 	// shareInterval is how often a gateway tells what it holds, for up to
 	// shareGateways of them: prompts are read in some hundred milliseconds.
-	shareInterval = 100 * time.Millisecond
+	shareInterval = 150 * time.Millisecond
 	shareGateways = 24
 	// maxHintBytes bounds the hints of one datagram; hintBytes and partBytes
 	// are what one takes besides its names.
 	maxHintBytes = 1200
-	hintBytes    = 48
-	partBytes    = 24
+	hintBytes    = 24
+	partBytes    = 8
 	// unknownGateways is how many gateways are assumed before others were
 	// heard: a gateway alone must not use up what all may use together.
 	unknownGateways = 8
@@ -46,11 +46,12 @@
 
 // hello is a datagram between gateways.
 type hello struct {
-	From string `json:"from"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // it tells the codec to leave names out
+	From     string
 	// Known are addresses of some gateways that the sender heard.
-	Known []string `json:"known,omitempty"`
+	Known []string
 	// Hints are what the sender holds at backend servers.
-	Hints []routing.Hint `json:"hints,omitempty"`
+	Hints []routing.Hint
 }
 
 // Hints exchanges what gateways hold at backend servers.
@@ -194,7 +195,7 @@
 
 // send sends one message to several gateways.
 func (p *Peers) send(conn *net.UDPConn, targets []string, message hello) {
-	content, err := json.Marshal(message)
+	content, err := msgpack.Marshal(&message)
 	if err != nil || len(content) > maxHelloBytes {
 		p.log.WithError(err).WithFields(logrus.Fields{"event": "hello_failed", "bytes": len(content)}).Error("a message to other gateways cannot be sent")
 		return
@@ -247,7 +248,7 @@
 			return
 		}
 		var message hello
-		if err := json.Unmarshal(buf[:n], &message); err != nil {
+		if err := msgpack.Unmarshal(buf[:n], &message); err != nil {
 			p.log.WithError(err).WithField("event", "hello_unreadable").Debug("a hello was passed over")
 			continue
 		}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -27,6 +27,9 @@
 	// freshAge is how old a view may be for a request to be refused for what
 	// the view lacks.
 	freshAge = 250 * time.Millisecond
+	// retiredAge is how old a view may be for a request to be refused for what
+	// an earlier configuration had: a watch is answered within it.
+	retiredAge = 1800 * time.Millisecond
 	// defaultDeadline is for requests without a deadline or a timeout.
 	defaultDeadline = 30 * time.Second
 	// startRetryAfter is when to come back to a gateway without a view.
@@ -147,6 +150,9 @@
 		return refuse(http.StatusServiceUnavailable, "no_configuration").after(startRetryAfter)
 	}
 	if refusal := s.identify(req); refusal != nil {
+		if s.retired(req) {
+			return refusal
+		}
 		if !s.deps.View.Refresh(ctx, freshAge) {
 			return refuse(http.StatusServiceUnavailable, "configuration_unconfirmed").after(startRetryAfter)
 		}
@@ -189,6 +195,19 @@
 	return nil
 }
 
+// retired reports whether the request asks for what an earlier configuration
+// had, so that the one in force is newer than what the caller knows.
+func (s *Server) retired(req *request) bool {
+	if s.deps.View.Age() > retiredAge {
+		return false
+	}
+	if req.route == nil {
+		host, _, _ := cutPort(req.in.Host)
+		return req.table.RetiredRoute(host, req.in.Path())
+	}
+	return req.table.Retired(req.Key)
+}
+
 // keysConfirmed reports whether the keys in force were confirmed within the
 // bound for keys that were taken away.
 func (s *Server) keysConfirmed() bool {
@@ -205,7 +224,11 @@
 	j.Generates = true
 	j.Parts, j.PromptTokens, j.OutputTokens = req.Parts, req.PromptTokens, req.OutputTokens
 	j.MaxPause = req.route.MaxPause
-	j.MemoryTokens = req.service.Engine.MemoryTokens
+	engine := req.service.Engine
+	j.MemoryTokens, j.TokenBytes = engine.MemoryTokens, engine.TokenBytes
+	if engine.TokenBytes > 0 {
+		j.FetchPace = engine.LinkBytesPerMs / engine.TokenBytes
+	}
 	return j
 }
 
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -55,15 +55,16 @@
 	away        bool
 	mu          sync.Mutex
 	refreshes   singleflight.Group
-	// gone is told of backend servers that are gone.
-	gone func(id string)
-	// seen counts the versions that came into force.
-	listed atomic.Bool
+	// gone is told of backend servers that are gone, accepted of each table
+	// that comes into force.
+	gone     func(id string)
+	accepted func(t *routes.Table)
+	listed   atomic.Bool
 }
 
 // NewView returns a view that knows nothing.
-func NewView(store Store, dir *directory.Directory, elapsed clock.Elapsed, log *logrus.Entry, gone func(string)) *View {
-	return &View{store: store, directory: dir, elapsed: elapsed, log: log, gone: gone, away: true}
+func NewView(store Store, dir *directory.Directory, elapsed clock.Elapsed, log *logrus.Entry, gone func(string), accepted func(*routes.Table)) *View {
+	return &View{store: store, directory: dir, elapsed: elapsed, log: log, gone: gone, accepted: accepted, away: true}
 }
 
 // Table returns the configuration in force, or nil.
@@ -105,7 +106,8 @@
 		}
 		return
 	}
-	v.table.Store(t)
+	v.table.Store(t.After(old))
+	v.accepted(t)
 	v.log.WithFields(logrus.Fields{"event": "config_accepted", "version": t.Version, "source": source, "routes": len(t.Routes())}).Info("configuration in force")
 }
 
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -82,6 +82,11 @@
 	// MemoryTokens is how many tokens its running requests and cached
 	// prefixes may hold together.
 	MemoryTokens int
+	// TokenBytes is the memory of one token, in bytes.
+	TokenBytes float64
+	// LinkBytesPerMs is how fast one engine copies memory from another, in
+	// bytes a millisecond.
+	LinkBytesPerMs float64
 }
 
 // ClientAccount is who a key belongs to.
@@ -108,6 +113,70 @@
 	byHost map[string]map[string]*Route
 	keys   map[string]*ClientAccount
 	names  map[string]*Route
+	// retired are the keys and retiredRoutes the hosts and prefixes of earlier
+	// versions that this one lacks.
+	retired       map[string]bool
+	retiredRoutes map[string]bool
+}
+
+// maxRetired bounds what is remembered of earlier versions.
+const maxRetired = 4096
+
+// After returns a copy of the table that knows what the table before it had.
+// Who asks for that is refused without a doubt that a newer version brings it.
+func (t *Table) After(old *Table) *Table {
+	next := *t
+	next.retired = make(map[string]bool)
+	next.retiredRoutes = make(map[string]bool)
+	if old == nil {
+		return &next
+	}
+	retire(next.retired, old.retired, old.keys, func(key string) bool { return t.keys[key] != nil })
+	present := make(map[string]bool, len(t.names))
+	for _, r := range t.names {
+		present[r.Host+r.Prefix] = true
+	}
+	before := make(map[string]bool, len(old.names))
+	for _, r := range old.names {
+		before[r.Host+r.Prefix] = true
+	}
+	retire(next.retiredRoutes, old.retiredRoutes, before, func(route string) bool { return present[route] })
+	return &next
+}
+
+// retire adds to the set what was retired before or held by the old table and
+// is not present.
+func retire[V any](set, earlier map[string]bool, held map[string]V, present func(string) bool) {
+	for name := range earlier {
+		if !present(name) && len(set) < maxRetired {
+			set[name] = true
+		}
+	}
+	for name := range held {
+		if !present(name) && len(set) < maxRetired {
+			set[name] = true
+		}
+	}
+}
+
+// Retired reports whether an earlier version held the key.
+func (t *Table) Retired(key string) bool { return t.retired[key] }
+
+// RetiredRoute reports whether an earlier version had a route for the path that
+// this one lacks.
+func (t *Table) RetiredRoute(host, path string) bool {
+	host = strings.ToLower(host)
+	for end := len(path); end > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			return false
+		}
+		if t.retiredRoutes[host+path[:slash+1]] {
+			return true
+		}
+		end = slash
+	}
+	return false
 }
 
 // Build checks and indexes a configuration.
--- a/routing/hint.go
+++ b/routing/hint.go
@@ -5,18 +5,19 @@
 // Hint is what one gateway holds at one server. Gateways tell each other, as
 // each sees its own requests only.
 type Hint struct {
-	Server string `json:"s"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // it tells the codec to leave names out
+	Server   string
 	// Open and Held are its requests and their tokens.
-	Open int `json:"o,omitempty"`
-	Held int `json:"h,omitempty"`
+	Open int
+	Held int
 	// Unread are the prompt tokens without a first event.
-	Unread int `json:"u,omitempty"`
+	Unread int
 	// Tight are its streams with the shortest pauses.
-	Tight int `json:"t,omitempty"`
+	Tight int
 	// Parts were sent there since the last hint.
-	Parts []Part `json:"p,omitempty"`
+	Parts []Part
 	// Memory is how many tokens the server holds in all.
-	Memory int `json:"m,omitempty"`
+	Memory int
 }
 
 // hinted is a hint with the time when it came.
--- a/routing/placer.go
+++ b/routing/placer.go
@@ -26,13 +26,20 @@
 	placerPaceGain = 0.1
 	// waitingShare is how much the prompt tokens that wait at a server delay a
 	// new request: they are read in turns, not one prompt after the other.
-	waitingShare = 0.35
+	waitingShare = 1.0
 	// againCost is what reading a shared part again that another server holds
 	// counts besides the time of the request itself: it delays all others there.
 	againCost = 2.0
+	// minFetchTokens is the least that is fetched from another server's memory.
+	minFetchTokens = 2000
+	// fetchSetup is the time to begin a fetch, in milliseconds.
+	fetchSetup = 5.0
+	// fetchCost is what a gigabyte that is fetched counts, in milliseconds: it
+	// is priced.
+	fetchCost = 25.0
 	// openCost is what each open request at an engine adds to the time of a new
 	// one, in milliseconds: a larger batch makes each step longer.
-	openCost = 2.0
+	openCost = 4.0
 	// remoteCost is what a server in another data centre counts more, in
 	// milliseconds: bytes between data centres are priced.
 	remoteCost = 20.0
@@ -58,13 +65,16 @@
 	maxSlow    = 30.0
 	// hintMemory is how long another gateway's word on its own requests counts:
 	// five of its messages.
-	hintMemory = 600 * time.Millisecond
+	hintMemory = 700 * time.Millisecond
 	// reportMemory is how long a server's own figures count.
 	reportMemory = 700 * time.Millisecond
 	// demandMemory is the half-life of the demand that sizes the pools.
 	demandMemory = 4 * time.Second
 	// tightFactor separates the streams with the shortest pauses from others.
 	tightFactor = 1.2
+	// priorTightShare is the tight streams' share of the demand until some was
+	// seen.
+	priorTightShare = 0.22
 	// minPoolServers is the least number of servers with which pools are kept.
 	minPoolServers = 4
 	// maxTightShare bounds the pool of the tight streams.
@@ -75,8 +85,11 @@
 
 // Part is one part of a prompt.
 type Part struct {
-	ID     string `json:"i"`
-	Tokens int    `json:"t"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // it tells the codec to leave names out
+	ID       string
+	Tokens   int
+	// Read says that a server has read it; otherwise it was only sent there.
+	Read bool
 }
 
 // Job is what the choice of a server depends on.
@@ -98,6 +111,11 @@
 	MaxPause time.Duration
 	// MemoryTokens is what one server of the service holds.
 	MemoryTokens int
+	// FetchPace is how many tokens a millisecond one server can fetch from
+	// another's memory; zero is none.
+	FetchPace float64
+	// TokenBytes is the memory of one token.
+	TokenBytes float64
 }
 
 // ownTokens is the part of the prompt that no other request shares.
@@ -128,6 +146,9 @@
 	Penalty float64
 	// Uncached is how many tokens are expected to be read.
 	Uncached int
+	// FetchFrom is the id of the server from whose memory shared parts are
+	// fetched; empty is none.
+	FetchFrom string
 }
 
 // Placer holds what a gateway knows of the servers. It is safe for concurrent
@@ -152,7 +173,7 @@
 	workByKind map[string]float64
 	// failuresByKind is the share of requests that fail anywhere.
 	failuresByKind map[string]float64
-	// pauses are the pause goals seen, by kind.
+	// pauses are the pause goals of all kinds that are sent to it.
 	pauses map[string]time.Duration
 	// demand are the decayed prompt tokens that no cache saves, by pool.
 	demand   [2]float64
@@ -166,20 +187,28 @@
 			readPace:       defaultReadPace,
 			workByKind:     make(map[string]float64),
 			failuresByKind: make(map[string]float64),
-			pauses:         make(map[string]time.Duration),
+			demand:         [2]float64{1 - priorTightShare, priorTightShare},
 		}
 		p.services[name] = s
 	}
 	return s
 }
 
+// SetPauses replaces the pause goals of each service by kind.
+func (p *Placer) SetPauses(goals map[string]map[string]time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, byKind := range goals {
+		p.service(name).pauses = byKind
+	}
+}
+
 // tight reports whether the job belongs to the streams with the shortest
 // pauses among several kinds.
 func (s *serviceModel) tight(j *Job) bool {
 	if j.MaxPause == 0 {
 		return false
 	}
-	s.pauses[j.Kind] = j.MaxPause
 	least, most := j.MaxPause, j.MaxPause
 	for _, pause := range s.pauses {
 		least, most = min(least, pause), max(most, pause)
@@ -264,13 +293,13 @@
 	tightServers := service.tightServers(len(servers))
 	pool := poolOf(servers, tightServers)
 	tight = tight && tightServers > 0
-	home, least := p.readings(j, servers, pool, tight)
+	home, held := p.readings(j, servers, pool, tight)
 	best := Choice{Index: -1}
 	for i := range servers {
 		if excluded[servers[i].ID] {
 			continue
 		}
-		c := p.weigh(now, j, service, &servers[i], i == home, tight, least)
+		c := p.weigh(now, j, service, &servers[i], i == home, tight, held)
 		if pool[i] != tight && j.Generates {
 			c.Penalty += crossingCost
 		}
@@ -283,30 +312,57 @@
 	return best, best.Index >= 0
 }
 
+// holder is the server that has read most of a prompt.
+type holder struct {
+	server     string
+	dataCentre string
+	// tokens is how much of the prompt it has read.
+	tokens int
+	// least is the least number of tokens that any server must read.
+	least int
+}
+
 // readings returns the server that is taken to hold the job's first part when
-// none is known to, or -1, and the least tokens that any server must read.
-func (p *Placer) readings(j *Job, servers []Server, pool []bool, tight bool) (home, least int) {
-	home, least = -1, j.PromptTokens
+// none is known to, or -1, and the one that holds most of its prompt.
+func (p *Placer) readings(j *Job, servers []Server, pool []bool, tight bool) (home int, h holder) {
+	home, h.least = -1, j.PromptTokens
 	if len(j.Parts) == 0 {
-		return home, least
+		return home, h
 	}
 	known := false
 	for i := range servers {
 		m := p.model(servers[i].ID)
 		known = known || m.parts[j.Parts[0].ID] != nil
-		least = min(least, m.uncached(j, false))
+		h.least = min(h.least, m.uncached(j, false))
+		if read := m.readTokens(j); read > h.tokens {
+			h.server, h.dataCentre, h.tokens = servers[i].ID, servers[i].DataCentre, read
+		}
 	}
 	if known {
-		return home, least
+		return home, h
 	}
-	if home = owner(servers, pool, tight, j.Parts[0].ID); home < 0 {
-		return home, least
+	if home = owner(servers, pool, tight, j.Parts[0].ID); home >= 0 {
+		h.least = p.model(servers[home].ID).uncached(j, true)
 	}
-	return home, p.model(servers[home].ID).uncached(j, true)
+	return home, h
+}
+
+// fetchTime returns what fetching from the holder costs, in milliseconds, and
+// how many tokens need not be read then.
+func (m *serverModel) fetchTime(j *Job, s *Server, h *holder) (cost float64, saved int) {
+	saved = h.tokens - m.readTokens(j)
+	if j.FetchPace == 0 || h.server == "" || h.server == s.ID || saved < minFetchTokens {
+		return 0, 0
+	}
+	cost = fetchSetup + float64(saved)/j.FetchPace + fetchCost*float64(saved)*j.TokenBytes/1e9
+	if s.DataCentre != h.dataCentre {
+		cost += float64(saved) / j.FetchPace
+	}
+	return cost, saved
 }
 
 // weigh estimates the job's cost at one server.
-func (p *Placer) weigh(now time.Time, j *Job, service *serviceModel, s *Server, assumed, tight bool, least int) Choice {
+func (p *Placer) weigh(now time.Time, j *Job, service *serviceModel, s *Server, assumed, tight bool, h holder) Choice {
 	m := p.model(s.ID)
 	l := m.load(now)
 	c := Choice{}
@@ -314,7 +370,14 @@
 		c.Uncached = m.uncached(j, false)
 		read := m.uncached(j, assumed)
 		c.Read = float64(read) / service.readPace
-		c.Penalty += againCost * float64(max(0, read-least)) / service.readPace
+		again := againCost * float64(max(0, read-h.least)) / service.readPace
+		if fetch, saved := m.fetchTime(j, s, &h); saved > 0 && fetch < again+float64(saved)/service.readPace {
+			c.FetchFrom = h.server
+			c.Uncached = max(0, c.Uncached-saved)
+			c.Read = float64(c.Uncached) / service.readPace
+			again = fetch
+		}
+		c.Penalty += again
 		c.Wait = waitingShare*float64(l.unread)/service.readPace + openCost*float64(l.open)
 		c.Wait += memoryWait(l.held, j, service)
 		c.Penalty += harm(l, tight, c.Read, service)
--- a/routing/placer_test.go
+++ b/routing/placer_test.go
@@ -29,6 +29,17 @@
 	}
 }
 
+// pauses are the goals of both kinds.
+func pauses() map[string]map[string]time.Duration {
+	return map[string]map[string]time.Duration{"engines": {"comparison": 800 * time.Millisecond, "question": 200 * time.Millisecond}}
+}
+
+func newTestPlacer(dataCentre string) *Placer {
+	p := NewPlacer(dataCentre)
+	p.SetPauses(pauses())
+	return p
+}
+
 func choose(t *testing.T, p *Placer, now time.Time, j *Job, servers []Server) (string, Choice) {
 	t.Helper()
 	c, ok := p.Choose(now, j, servers, nil)
@@ -44,8 +55,8 @@
 	servers := nineEngines()
 	for part := range 50 {
 		id := fmt.Sprintf("part-%d", part)
-		first, _ := choose(t, NewPlacer("dc-0"), epoch, comparison(id), servers)
-		second, _ := choose(t, NewPlacer("dc-2"), epoch, comparison(id), servers)
+		first, _ := choose(t, newTestPlacer("dc-0"), epoch, comparison(id), servers)
+		second, _ := choose(t, newTestPlacer("dc-2"), epoch, comparison(id), servers)
 		if first != second {
 			t.Errorf("%s: %s and %s", id, first, second)
 		}
@@ -59,8 +70,8 @@
 	moved := 0
 	for part := range 200 {
 		id := fmt.Sprintf("part-%d", part)
-		first, _ := choose(t, NewPlacer("dc-0"), epoch, comparison(id), before)
-		second, _ := choose(t, NewPlacer("dc-0"), epoch, comparison(id), after)
+		first, _ := choose(t, newTestPlacer("dc-0"), epoch, comparison(id), before)
+		second, _ := choose(t, newTestPlacer("dc-0"), epoch, comparison(id), after)
 		if first != second && second != "engine-new" {
 			t.Errorf("%s moved from %s to %s", id, first, second)
 		}
@@ -77,7 +88,7 @@
 // server that holds the part is not far behind, no other one reads it again.
 func TestPartsStayWhereTheyWereRead(t *testing.T) {
 	servers := nineEngines()
-	p := NewPlacer("dc-0")
+	p := newTestPlacer("dc-0")
 	first, c := choose(t, p, epoch, comparison("part"), servers)
 	p.Sent(epoch, comparison("part"), first, c)
 	for range 4 {
@@ -93,7 +104,7 @@
 // can serve it is read at others too.
 func TestHotPartSpreads(t *testing.T) {
 	servers := nineEngines()
-	p := NewPlacer("dc-0")
+	p := newTestPlacer("dc-0")
 	used := map[string]bool{}
 	for range 60 {
 		id, c := choose(t, p, epoch, comparison("hot"), servers)
@@ -110,12 +121,18 @@
 // another server is free.
 func TestLongPromptsKeepAwayFromTightStreams(t *testing.T) {
 	servers := nineEngines()
-	p := NewPlacer("dc-0")
+	p := newTestPlacer("dc-0")
 	tight := map[string]bool{}
+	var open []*Ticket
 	for i := range 40 {
 		now := epoch.Add(time.Duration(i) * 20 * time.Millisecond)
 		id, c := choose(t, p, now, question(), servers)
-		p.Sent(now, question(), id, c).FirstEvent(now.Add(15 * time.Millisecond))
+		stream := p.Sent(now, question(), id, c)
+		stream.FirstEvent(now.Add(15 * time.Millisecond))
+		if open = append(open, stream); len(open) > 20 {
+			open[0].Ended(now, Succeeded)
+			open = open[1:]
+		}
 		if i >= 20 {
 			tight[id] = true
 		}
@@ -137,7 +154,7 @@
 func TestFewServersHaveNoPools(t *testing.T) {
 	for n := 1; n <= 4; n++ {
 		servers := nineEngines()[:n]
-		p := NewPlacer("dc-0")
+		p := newTestPlacer("dc-0")
 		tight := question()
 		tight.Parts = []Part{{ID: "a", Tokens: 300}}
 		for _, j := range []*Job{comparison("part"), tight, comparison("part"), tight} {
@@ -151,7 +168,7 @@
 func TestFailingServerIsLeftAndTriedAgain(t *testing.T) {
 	servers := []Server{{ID: "a", DataCentre: "dc-0", Slots: 6}, {ID: "b", DataCentre: "dc-1", Slots: 6}}
 	job := &Job{Kind: "booking", Service: "app"}
-	p := NewPlacer("dc-0")
+	p := newTestPlacer("dc-0")
 	for i := range 3 {
 		now := epoch.Add(time.Duration(i) * 50 * time.Millisecond)
 		_, c := choose(t, p, now, job, servers[:1])
@@ -169,7 +186,7 @@
 // sent, and counts what it holds.
 func TestHintsTellWhereOthersSentParts(t *testing.T) {
 	servers := nineEngines()
-	one, other := NewPlacer("dc-0"), NewPlacer("dc-1")
+	one, other := newTestPlacer("dc-0"), newTestPlacer("dc-1")
 	elsewhere := servers[0].ID
 	if id, _ := choose(t, one, epoch, comparison("part"), servers); id == elsewhere {
 		elsewhere = servers[1].ID
--- a/routing/server.go
+++ b/routing/server.go
@@ -45,7 +45,8 @@
 type cachedPart struct {
 	id     string
 	tokens int
-	used   time.Time
+	// read says that the server has read the part; before, it is on its way.
+	read bool
 }
 
 func (p *Placer) model(id string) *serverModel {
@@ -70,17 +71,32 @@
 	return max(0, left)
 }
 
+// readTokens returns how many tokens of the job's prompt the server has read
+// already, from its begin.
+func (m *serverModel) readTokens(j *Job) int {
+	held := 0
+	for _, part := range j.Parts {
+		e := m.parts[part.ID]
+		if e == nil || !e.Value.(*cachedPart).read {
+			break
+		}
+		held += part.Tokens
+	}
+	return held
+}
+
 // remember notes that the server reads the parts of a prompt. memory is how many
 // tokens it holds in all.
 func (m *serverModel) remember(now time.Time, parts []Part, memory int) {
 	held := m.load(now).held
 	for _, part := range parts {
 		if e := m.parts[part.ID]; e != nil {
-			e.Value.(*cachedPart).used = now
+			held := e.Value.(*cachedPart)
+			held.read = held.read || part.Read
 			m.order.MoveToFront(e)
 			continue
 		}
-		m.parts[part.ID] = m.order.PushFront(&cachedPart{id: part.ID, tokens: part.Tokens, used: now})
+		m.parts[part.ID] = m.order.PushFront(&cachedPart{id: part.ID, tokens: part.Tokens, read: part.Read})
 		m.cached += part.Tokens
 	}
 	for m.order.Len() > maxCachedParts || memory > 0 && m.cached+held > memory && m.order.Len() > 0 {
@@ -175,6 +191,7 @@
 	tokens   int
 	reading  bool
 	tight    bool
+	fetched  bool
 	ended    bool
 }
 
@@ -185,7 +202,7 @@
 	m := p.model(server)
 	t := &Ticket{
 		placer: p, job: j, server: server, sent: now, uncached: c.Uncached, expected: c.Read + c.Wait,
-		tokens: j.PromptTokens + j.OutputTokens, reading: j.Generates,
+		tokens: j.PromptTokens + j.OutputTokens, reading: j.Generates, fetched: c.FetchFrom != "",
 	}
 	m.open++
 	if !j.Generates {
@@ -210,6 +227,7 @@
 	defer t.placer.mu.Unlock()
 	m := t.placer.model(t.server)
 	t.read(m)
+	t.noteRead(now, m)
 	took := milliseconds(now.Sub(t.sent))
 	service := t.placer.service(t.job.Service)
 	if t.uncached > minPaceSample && m.load(now).open == 1 {
@@ -240,6 +258,20 @@
 // slowTolerance is how many times the expected time is still usual.
 const slowTolerance = 2.0
 
+// noteRead notes that the server holds the parts of the prompt now.
+func (t *Ticket) noteRead(now time.Time, m *serverModel) {
+	if len(t.job.Parts) == 0 || t.job.PromptTokens-t.uncached >= t.job.PromptTokens-t.job.ownTokens() && !t.fetched {
+		return // it held them before
+	}
+	parts := make([]Part, len(t.job.Parts))
+	for i, part := range t.job.Parts {
+		parts[i] = part
+		parts[i].Read = true
+	}
+	m.remember(now, parts, t.job.MemoryTokens)
+	m.fresh = append(m.fresh, parts...)
+}
+
 // read takes the job out of the prompts that wait.
 func (t *Ticket) read(m *serverModel) {
 	if t.reading {
