--- a/gateway/server.go
+++ b/gateway/server.go
@@ -29,7 +29,7 @@
 	freshAge = 250 * time.Millisecond
 	// retiredAge is how old a view may be for a request to be refused for what
 	// an earlier configuration had: a watch is answered within it.
-	retiredAge = 1800 * time.Millisecond
+	retiredAge = 2400 * time.Millisecond
 	// defaultDeadline is for requests without a deadline or a timeout.
 	defaultDeadline = 30 * time.Second
 	// startRetryAfter is when to come back to a gateway without a view.
@@ -217,7 +217,7 @@
 
 // job describes the request for the choice of a server.
 func job(req *request) routing.Job {
-	j := routing.Job{Kind: req.route.Name, Service: req.service.Name}
+	j := routing.Job{Kind: req.route.Name, Service: req.service.Name, Goal: req.route.Goal}
 	if req.service.Engine == nil {
 		return j
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -21,7 +21,7 @@
 const (
 	// watchWait is how long a watch waits: the view must be confirmed a few
 	// times within the bound for keys that were taken away.
-	watchWait = time.Second
+	watchWait = 1500 * time.Millisecond
 	// watchSlack is what a watch may take besides: a slow store and a lost
 	// packet.
 	watchSlack = 900 * time.Millisecond
--- a/routing/placer.go
+++ b/routing/placer.go
@@ -37,6 +37,12 @@
 	// fetchCost is what a gigabyte that is fetched counts, in milliseconds: it
 	// is priced.
 	fetchCost = 25.0
+	// goalShare is the part of the goal from which on a delay counts in full: the
+	// estimate is a mean, and answers spread around it.
+	goalShare = 0.4
+	// minUrgency and maxUrgency bound how a delay counts.
+	minUrgency = 0.2
+	maxUrgency = 2.0
 	// openCost is what each open request at an engine adds to the time of a new
 	// one, in milliseconds: a larger batch makes each step longer.
 	openCost = 4.0
@@ -107,6 +113,8 @@
 	PromptTokens int
 	// OutputTokens is the expected length of the answer.
 	OutputTokens int
+	// Goal is the time to the answer or its first event; zero is no goal.
+	Goal time.Duration
 	// MaxPause is the longest pause between events; zero is no goal.
 	MaxPause time.Duration
 	// MemoryTokens is what one server of the service holds.
@@ -303,7 +311,7 @@
 		if pool[i] != tight && j.Generates {
 			c.Penalty += crossingCost
 		}
-		c.Cost = c.Read + c.Wait + c.Penalty
+		c.Cost = urgencyOf(j, c.Read+c.Wait) + c.Penalty
 		c.Index = i
 		if best.Index < 0 || c.Cost < best.Cost {
 			best = c
@@ -312,6 +320,16 @@
 	return best, best.Index >= 0
 }
 
+// urgencyOf weighs a time to the answer against the job's goal: far below it a
+// delay costs nobody anything, near it the answer may come late.
+func urgencyOf(j *Job, expected float64) float64 {
+	if j.Goal == 0 {
+		return expected
+	}
+	share := expected / (goalShare * milliseconds(j.Goal))
+	return expected * min(maxUrgency, max(minUrgency, share))
+}
+
 // holder is the server that has read most of a prompt.
 type holder struct {
 	server     string
