--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -17,13 +17,13 @@
 // included.
 const maxSends = 4
 
-// cutPort separates the port from a host.
-func cutPort(host string) (name, port string, found bool) {
-	name, port, err := net.SplitHostPort(host)
+// hostName returns the host without its port.
+func hostName(host string) string {
+	name, _, err := net.SplitHostPort(host)
 	if err != nil {
-		return host, "", false
+		return host
 	}
-	return name, port, true
+	return name
 }
 
 // verdict is what became of one send.
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -59,6 +59,9 @@
 	// MetricsAddress serves counters and histograms; empty is none.
 	MetricsAddress string
 	Seed           uint64
+	// Elapsed replaces the clock that ages are taken from, in tests; nil is the
+	// boot clock.
+	Elapsed clock.Elapsed
 }
 
 // Daemon is one process.
@@ -75,6 +78,8 @@
 	ingress  *ingress.Server
 	peers    *Peers
 	life     *life
+	// callers and readiness are open after Listen.
+	callers, readiness net.Listener
 }
 
 // NewDaemon reads the settings and joins the parts.
@@ -90,8 +95,12 @@
 		d.log.WithFields(logrus.Fields{"event": "process_state", "state": state}).Info("process state")
 	})
 	placer := routing.NewPlacer(settings.DataCentre)
+	elapsed := o.Elapsed
+	if elapsed == nil {
+		elapsed = clock.SinceBoot
+	}
 	store := p.Store(func() string { return d.settings.Load().StoreAddress })
-	d.view = NewView(store, d.dir, clock.SinceBoot, d.log, placer.Forget, func(t *routes.Table) { placer.SetPauses(pauseGoals(t)) })
+	d.view = NewView(store, d.dir, elapsed, d.log, placer.Forget, func(t *routes.Table) { placer.SetPauses(pauseGoals(t)) })
 	dialed := d.metrics.Counter("sesame_gateway_connections_opened_total")
 	d.pool = upstream.New(upstream.Config{Dialed: func(string) { dialed.Inc(1) }})
 	steady := clock.New()
@@ -156,8 +165,20 @@
 	return ingress.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
 }
 
-// Run serves until the process is asked to end.
+// Run serves until the process is asked to end by SIGTERM; SIGHUP reads the
+// settings again.
 func (d *Daemon) Run() error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	if err := d.Listen(); err != nil {
+		return err
+	}
+	return d.Serve(context.Background(), signals)
+}
+
+// Listen opens the addresses of the settings.
+func (d *Daemon) Listen() error {
 	settings := d.settings.Load()
 	callers, err := net.Listen("tcp", settings.CallerAddress)
 	if err != nil {
@@ -165,28 +186,41 @@
 	}
 	readiness, err := net.Listen("tcp", settings.ReadyAddress)
 	if err != nil {
+		callers.Close()
 		return eris.Wrap(err, "gateway: readiness listener")
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	ctx, cancel := context.WithCancel(context.Background())
+	d.callers, d.readiness = callers, readiness
+	return nil
+}
+
+// CallerAddress is where callers connect to, after Listen.
+func (d *Daemon) CallerAddress() string { return d.callers.Addr().String() }
+
+// ReadyAddress answers readiness checks, after Listen.
+func (d *Daemon) ReadyAddress() string { return d.readiness.Addr().String() }
+
+// Serve serves on the open addresses until a signal other than SIGHUP comes and
+// the process has drained, or at once until the context ends.
+func (d *Daemon) Serve(ctx context.Context, signals <-chan os.Signal) error {
+	settings := d.settings.Load()
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	d.startDuties(ctx, group)
-	group.Go(func() error { return d.ingress.Serve(callers) })
+	group.Go(func() error { return d.ingress.Serve(d.callers) })
 	ready := &http.Server{Handler: http.HandlerFunc(d.readyz), ReadTimeout: readyTimeout, WriteTimeout: readyTimeout}
-	group.Go(func() error { return served(ready.Serve(readiness)) })
+	group.Go(func() error { return served(ready.Serve(d.readiness)) })
 	group.Go(func() error { return d.serveMetrics(ctx) })
 	group.Go(func() error {
 		defer cancel()
 		d.live(ctx, signals)
-		callers.Close()
+		d.callers.Close()
 		d.ingress.Close()
 		_ = ready.Close() // the process ends
 		return nil
 	})
 	d.log.WithFields(logrus.Fields{"event": "started", "data_centre": settings.DataCentre, "callers": settings.CallerAddress, "store": settings.StoreAddress}).Info("started")
-	err = group.Wait()
+	err := group.Wait()
 	d.log.WithFields(logrus.Fields{"event": "stopped", "in_flight": d.ingress.InFlight()}).Info("stopped")
 	return err
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -128,7 +128,7 @@
 		p.log.WithError(err).WithField("event", "peers_off").Error("the peer address cannot be used")
 		return
 	}
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // the receiver ends
 	defer stop()
 	go clock.Every(ctx, helloInterval, func() { p.greet(conn) })
 	go p.share(ctx, conn)
--- /dev/null
+++ b/gateway/peers_test.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/sesameswitch/sesameswitch/clock"
+	"github.com/sesameswitch/sesameswitch/deployment"
+	"github.com/sesameswitch/sesameswitch/routing"
+)
+
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func newTestPeers(c clock.Clock) *Peers {
+	return NewPeers(&deployment.Settings{PeerAddress: "10.0.0.1:80", Seeds: []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}}, routing.NewPlacer("a"), c, quiet())
+}
+
+// TestLiveGateways shows whom a gateway counts: many until it had the time to
+// hear them, then those that it heard lately.
+func TestLiveGateways(t *testing.T) {
+	c := clock.NewManual(epoch)
+	p := newTestPeers(c)
+	if got := p.Live(); got != unknownGateways {
+		t.Errorf("at the start: %d", got)
+	}
+	p.take(hello{From: "10.0.0.2:80", Known: []string{"10.0.0.4:80", "10.0.0.1:80", "not an address"}})
+	c.Advance(learnTime)
+	if got := p.Live(); got != 2 {
+		t.Errorf("with one that was heard and one that was named: %d", got)
+	}
+	targets, message := p.round()
+	if len(targets) != 3 || message.From != "10.0.0.1:80" {
+		t.Errorf("greets %v", targets)
+	}
+	p.take(hello{From: "10.0.0.4:80"})
+	p.take(hello{From: "10.0.0.1:80"})
+	if got := p.Live(); got != 3 {
+		t.Errorf("with two: %d", got)
+	}
+	c.Advance(peerTimeout)
+	if got := p.Live(); got != 1 {
+		t.Errorf("after a silence: %d", got)
+	}
+	c.Advance(3 * peerTimeout)
+	p.round()
+	if len(p.heard) != 0 {
+		t.Errorf("still remembered: %v", p.heard)
+	}
+}
+
+// TestHintsFitIntoDatagrams shows that any number of hints is divided so that
+// each message passes every link whole.
+func TestHintsFitIntoDatagrams(t *testing.T) {
+	var hints []routing.Hint
+	for i := range 200 {
+		h := routing.Hint{Server: fmt.Sprintf("i-%010d", i), Open: 60, Held: 500_000, Unread: 400_000, Tight: 50, Memory: 567_590}
+		for k := range i % 17 {
+			h.Parts = append(h.Parts, routing.Part{ID: fmt.Sprintf("%08x", k), Tokens: 13_300, Read: true})
+		}
+		hints = append(hints, h)
+	}
+	total := 0
+	for _, part := range splitHints(hints) {
+		total += len(part)
+		content, err := msgpack.Marshal(&hello{From: "10.100.200.255:65535", Hints: part})
+		if err != nil || len(content) > maxHelloBytes {
+			t.Errorf("%d hints take %d bytes: %v", len(part), len(content), err)
+		}
+		var back hello
+		if err := msgpack.Unmarshal(content, &back); err != nil || len(back.Hints) != len(part) || back.Hints[0].Server != part[0].Server {
+			t.Errorf("read back: %v", err)
+		}
+	}
+	if total != len(hints) {
+		t.Errorf("%d of %d hints", total, len(hints))
+	}
+}
+
+func TestShareIntervalGrowsWithGateways(t *testing.T) {
+	c := clock.NewManual(epoch)
+	p := newTestPeers(c)
+	c.Advance(time.Minute)
+	if got := p.shareInterval(); got != shareInterval {
+		t.Errorf("alone: %v", got)
+	}
+	for i := range 48 {
+		p.take(hello{From: fmt.Sprintf("10.0.1.%d:80", i)})
+	}
+	if got := p.shareInterval(); got != 3*shareInterval {
+		t.Errorf("49 gateways: %v", got)
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -179,8 +179,7 @@
 
 // identify finds the route and the account in the request's table.
 func (s *Server) identify(req *request) *refusal {
-	host, _, _ := cutPort(req.in.Host)
-	req.route = req.table.Lookup(host, req.in.Path())
+	req.route = req.table.Lookup(hostName(req.in.Host), req.in.Path())
 	if req.route == nil {
 		return refuse(http.StatusNotFound, "no_route")
 	}
@@ -202,8 +201,7 @@
 		return false
 	}
 	if req.route == nil {
-		host, _, _ := cutPort(req.in.Host)
-		return req.table.RetiredRoute(host, req.in.Path())
+		return req.table.RetiredRoute(hostName(req.in.Host), req.in.Path())
 	}
 	return req.table.Retired(req.Key)
 }
--- a/routing/server.go
+++ b/routing/server.go
@@ -63,7 +63,7 @@
 func (m *serverModel) uncached(j *Job, assumed bool) int {
 	left := j.PromptTokens
 	for i, part := range j.Parts {
-		if m.parts[part.ID] == nil && !(assumed && i == 0) {
+		if m.parts[part.ID] == nil && (!assumed || i > 0) {
 			break
 		}
 		left -= part.Tokens
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -303,7 +303,7 @@
 // readHead reads the head of the answer.
 func (e *Exchange) readHead(r *Request) error {
 	for range maxInterim {
-		answer, err := http.ReadResponse(e.conn.br, &http.Request{Method: r.Method})
+		answer, err := http.ReadResponse(e.conn.br, &http.Request{Method: r.Method}) //nolint:bodyclose // closing it would read on; Done or Abort ends the connection
 		if err != nil {
 			return eris.Wrap(err, "upstream: no answer")
 		}
