Keep streams with short pauses together in bursts

Change: an open request counts 0.5 ms, near what a larger batch costs; pools of tight streams have three quarters of their share of the tokens, a third of the engines at most. TestTightStreamsStayTogether replays the burst.

--- a/routing/placer.go
+++ b/routing/placer.go
@@ -44,8 +44,8 @@
 	minUrgency = 0.2
 	maxUrgency = 2.0
 	// openCost is what each open request at an engine adds to the time of a new
-	// one, in milliseconds: a larger batch makes each step longer.
-	openCost = 4.0
+	// one, in milliseconds: a larger batch makes its few steps a little longer.
+	openCost = 0.5
 	// remoteCost is what a server in another data centre counts more, in
 	// milliseconds: bytes between data centres are priced.
 	remoteCost = 20.0
@@ -83,8 +83,13 @@
 	priorTightShare = 0.22
 	// minPoolServers is the least number of servers with which pools are kept.
 	minPoolServers = 4
-	// maxTightShare bounds the pool of the tight streams.
-	maxTightShare = 0.5
+	// tightNeed is how many servers tight streams need against others for the
+	// same tokens: their prompts are short, so one server carries more of them
+	// before pauses grow.
+	tightNeed = 0.75
+	// maxTightShare bounds the pool of the tight streams; the others must have
+	// room for their cached parts.
+	maxTightShare = 0.34
 	// plainWork is the time of a request at a plain service until answers tell.
 	plainWork = 60.0
 )
@@ -247,7 +252,7 @@
 	if n < minPoolServers || total == 0 || s.demand[1] == 0 {
 		return 0
 	}
-	share := min(maxTightShare, s.demand[1]/total)
+	share := min(maxTightShare, tightNeed*s.demand[1]/total)
 	return max(1, int(math.Round(share*float64(n))))
 }
 
--- a/routing/placer_test.go
+++ b/routing/placer_test.go
@@ -204,3 +204,36 @@
 		t.Errorf("a hint counts a second later: %+v", l)
 	}
 }
+
+// TestTightStreamsStayTogether replays a burst of short streams (x2.2) beside
+// long prompts: a batch of dozens is no reason to spread them over engines that
+// read long prompts.
+func TestTightStreamsStayTogether(t *testing.T) {
+	servers := nineEngines()
+	p := newTestPlacer("dc-0")
+	used := map[string]int{}
+	var open []*Ticket
+	for i := range 300 {
+		now := epoch.Add(time.Duration(i) * 15 * time.Millisecond)
+		id, c := choose(t, p, now, question(), servers)
+		stream := p.Sent(now, question(), id, c)
+		stream.FirstEvent(now.Add(20 * time.Millisecond))
+		if open = append(open, stream); len(open) > 40 {
+			open[0].Ended(now, Succeeded)
+			open = open[1:]
+		}
+		if i%2 == 0 {
+			part := fmt.Sprintf("part-%d", i%80)
+			id, c := choose(t, p, now, comparison(part), servers)
+			ticket := p.Sent(now, comparison(part), id, c)
+			ticket.FirstEvent(now)
+			ticket.Ended(now, Succeeded)
+		}
+		if i > 100 {
+			used[id]++
+		}
+	}
+	if len(used) > 3 {
+		t.Errorf("40 streams at once are spread over %v", used)
+	}
+}
