Explain a request from the logs of gateways; sum up a window

Cause: on call there are only logs; the way of a request over several gateways had to be put together by hand.

Change: package decisionlog reads gateways' lines, passes over what a collector puts before them and counts unreadable ones; sesamectl explain prints a request's way with the beliefs that decided it and its cause, sesamectl incident sums up a window. Lines tell milliseconds. A passed-on failure names its route; the first contact with the store tells no time away; a store call that the process's end cuts is no loss.

--- a/cmd/sesamectl/main.go
+++ b/cmd/sesamectl/main.go
@@ -31,6 +31,8 @@
 	Diff     ctl.Diff      `cmd:"" help:"Show what changes in force between two manifests."`
 	Status   ctl.Status    `cmd:"" help:"Show state, configuration version and load of processes."`
 	Timeline ctl.Timeline  `cmd:"" help:"Merge the events of processes, from them or from files, in order."`
+	Explain  ctl.Explain   `cmd:"" help:"Print the way of a request over all gateways, from their logs."`
+	Incident ctl.Incident  `cmd:"" help:"Sum up a window of gateways' logs."`
 	Charts   ctl.Charts    `cmd:"" help:"Print the state charts that the processes follow."`
 	Schema   ctl.Schema    `cmd:"" help:"Print the JSON Schema of the manifest."`
 	Load     load.Command  `cmd:"" help:"Run experiments against real processes and report what came of them."`
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -156,7 +156,7 @@
 func (d *delivery) passFailure() {
 	d.serverFailed = true
 	d.status = d.failure.status
-	d.req.log.WithFields(logrus.Fields{"event": "answer_failed", "status": d.failure.status, "after_ms": d.server.since(d.req).Milliseconds(), "sends": d.req.sends}).Info("the backend server's failure was passed on")
+	d.req.log.WithFields(logrus.Fields{"event": "answer_failed", "route": d.req.route.Name, "status": d.failure.status, "after_ms": d.server.since(d.req).Milliseconds(), "sends": d.req.sends}).Info("the backend server's failure was passed on")
 	d.server.meters.failed(d.req.route.Name)
 	d.req.out.Whole(d.failure.status, d.failure.header, d.failure.body)
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -148,6 +148,9 @@
 	pause := firstPause
 	for ctx.Err() == nil {
 		err := v.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		if err == nil {
 			pause = firstPause
 			continue
@@ -215,7 +218,11 @@
 		if v.answeredAt > 0 && now-v.answeredAt > awayAfter {
 			v.directory.StoreBack(time.Unix(0, int64(now)))
 		}
-		v.log.WithFields(logrus.Fields{"event": "store_regained", "away_ms": (now - v.answeredAt).Milliseconds()}).Info("the store answers")
+		away := time.Duration(0)
+		if v.answeredAt > 0 {
+			away = now - v.answeredAt
+		}
+		v.log.WithFields(logrus.Fields{"event": "store_regained", "away_ms": away.Milliseconds()}).Info("the store answers")
 		v.away = false
 	}
 	v.answeredAt = now
--- a/routing/placer_test.go
+++ b/routing/placer_test.go
@@ -66,7 +66,8 @@
 // TestFewPartsMoveWhenAServerComes bounds what must be read again.
 func TestFewPartsMoveWhenAServerComes(t *testing.T) {
 	before := nineEngines()[:8] // with eight and with nine the tight pool has one server
-	after := append(nineEngines()[:8], Server{ID: "engine-new", DataCentre: "dc-0", Slots: 64})
+	after := nineEngines()
+	after[8] = Server{ID: "engine-new", DataCentre: "dc-0", Slots: 64}
 	moved := 0
 	for part := range 200 {
 		id := fmt.Sprintf("part-%d", part)
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -13,6 +13,10 @@
 	FormatJSON = "json"
 )
 
+// timestampFormat tells milliseconds, as decisions of one request lie close
+// together.
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLogger returns a logger that writes lines of the format ("text" or
 // "json") from the level upwards.
 func NewLogger(format, level string, w io.Writer) (*logrus.Logger, error) {
@@ -27,7 +31,7 @@
 	case FormatText:
 		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
 	case FormatJSON:
-		logger.SetFormatter(&logrus.JSONFormatter{})
+		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timestampFormat})
 	default:
 		return nil, eris.Errorf("log format %q: must be text or json", format)
 	}
