Let hundreds of gateways know each other within seconds

Cause: TestManyGatewaysKnowEachOther, 300 gateways with three seeds: after 10 s one counted 35 of them, since each hello named the same six and each round greeted six. The shares of the budget of repeats depend on that count, and hints lapsed before the next ones came.

Change: a round greets a quarter of those known; hellos name 40 in turn; hints count for four of their intervals.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sort"
 	"sync"
 	"time"
 
@@ -26,8 +27,17 @@
 	maxPeers = 1024
 	// maxHelloBytes is the largest datagram that passes every link whole.
 	maxHelloBytes = 1400
-	// hellosPerRound is how many gateways are greeted in one interval.
+	// hellosPerRound is how many gateways are greeted in one interval at least,
+	// helloShare the part of those known: all within half of peerTimeout.
 	hellosPerRound = 6
+	helloShare     = 4
+	// namedPerHello is how many gateways a hello names: as many as fit into a
+	// datagram.
+	namedPerHello = 40
+	// minHintMemory is how long hints count at least, hintIntervals for how many
+	// of their intervals.
+	minHintMemory = 700 * time.Millisecond
+	hintIntervals = 4
 	// shareInterval is how often a gateway tells what it holds, for up to
 	// shareGateways of them: prompts are read in some hundred milliseconds.
 	shareInterval = 150 * time.Millisecond
@@ -60,7 +70,8 @@
 	// call.
 	Hints(now time.Time) []routing.Hint
 	// TakeHints takes in another gateway's.
-	TakeHints(now time.Time, from string, hints []routing.Hint)
+	// They count until the time.
+	TakeHints(now, until time.Time, from string, hints []routing.Hint)
 }
 
 // Peers knows the other gateways from datagrams. It is safe for concurrent use.
@@ -75,10 +86,11 @@
 	seeds   []string
 	// heard is when each gateway was heard of last, by its address; a gateway
 	// that was only named by others has the zero time.
-	heard   map[string]time.Time
-	hints   Hints
-	turn    int
-	started time.Time
+	heard map[string]time.Time
+	hints Hints
+	// turn and nameTurn are whom to greet and to name next.
+	turn, nameTurn int
+	started        time.Time
 }
 
 // NewPeers returns the peers of a gateway that has heard nobody.
@@ -101,15 +113,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
+	live := p.liveAt(now)
+	if now.Sub(p.started) < learnTime {
+		return max(live, unknownGateways)
+	}
+	return live
+}
+
+// liveAt counts the gateways that were heard lately, and this one.
+func (p *Peers) liveAt(now time.Time) int {
 	live := 1
 	for _, at := range p.heard {
 		if now.Sub(at) < peerTimeout {
 			live++
 		}
 	}
-	if now.Sub(p.started) < learnTime {
-		return max(live, unknownGateways)
-	}
 	return live
 }
 
@@ -150,7 +168,11 @@
 
 // shareInterval grows with the gateways, so that each one's messages do not.
 func (p *Peers) shareInterval() time.Duration {
-	return shareInterval * time.Duration(1+p.Live()/shareGateways)
+	return shareIntervalOf(p.Live())
+}
+
+func shareIntervalOf(gateways int) time.Duration {
+	return shareInterval * time.Duration(1+gateways/shareGateways)
 }
 
 // live returns the gateways that were heard lately.
@@ -229,11 +251,18 @@
 			targets = append(targets, seed)
 		}
 	}
-	for i := range min(hellosPerRound, len(known)) {
+	sort.Strings(known)
+	count := min(max(hellosPerRound, len(known)/helloShare+1), len(known))
+	for i := range count {
 		targets = append(targets, known[(p.turn+i)%len(known)])
 	}
-	p.turn += hellosPerRound
-	return targets, hello{From: p.address, Known: known[:min(len(known), hellosPerRound)]}
+	p.turn += count
+	named := make([]string, 0, namedPerHello)
+	for i := range min(namedPerHello, len(known)) {
+		named = append(named, known[(p.nameTurn+i)%len(known)])
+	}
+	p.nameTurn += len(named)
+	return targets, hello{From: p.address, Known: named}
 }
 
 // receive takes in hellos until the connection is closed.
@@ -269,7 +298,8 @@
 	now := p.clock.Now()
 	p.heard[message.From] = now
 	if len(message.Hints) > 0 {
-		p.hints.TakeHints(now, message.From, message.Hints)
+		memory := max(minHintMemory, hintIntervals*shareIntervalOf(p.liveAt(now)))
+		p.hints.TakeHints(now, now.Add(memory), message.From, message.Hints)
 	}
 	for _, address := range message.Known {
 		_, known := p.heard[address]
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -99,3 +99,32 @@
 		t.Errorf("49 gateways: %v", got)
 	}
 }
+
+// TestManyGatewaysKnowEachOther replays the start of 300 gateways with three
+// seeds, without lost messages: each must count nearly all within seconds, as the
+// shares of the budget of repeats depend on it.
+func TestManyGatewaysKnowEachOther(t *testing.T) {
+	const n = 300
+	c := clock.NewManual(epoch)
+	address := func(i int) string { return fmt.Sprintf("10.0.%d.%d:80", i/250, i%250) }
+	all := make(map[string]*Peers, n)
+	for i := range n {
+		all[address(i)] = NewPeers(&deployment.Settings{PeerAddress: address(i), Seeds: []string{address(0), address(1), address(2)}}, routing.NewPlacer("a"), c, quiet())
+	}
+	for range 20 { // traffic starts 10 s after the VMs do
+		for i := range n {
+			targets, message := all[address(i)].round()
+			for _, target := range targets {
+				all[target].take(message)
+			}
+		}
+		c.Advance(helloInterval)
+	}
+	least := n
+	for _, p := range all {
+		least = min(least, p.Live())
+	}
+	if least < n*95/100 {
+		t.Errorf("after 10 seconds one of %d gateways counts %d", n, least)
+	}
+}
--- a/routing/hint.go
+++ b/routing/hint.go
@@ -20,10 +20,10 @@
 	Memory int
 }
 
-// hinted is a hint with the time when it came.
+// hinted is a hint with the time until which it counts.
 type hinted struct {
 	Hint
-	at time.Time
+	until time.Time
 }
 
 // maxHintParts bounds the parts of one hint.
@@ -50,8 +50,8 @@
 	return hints
 }
 
-// TakeHints takes in what another gateway holds.
-func (p *Placer) TakeHints(now time.Time, from string, hints []Hint) {
+// TakeHints takes in what another gateway holds, to count until a time.
+func (p *Placer) TakeHints(now, until time.Time, from string, hints []Hint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, h := range hints {
@@ -59,7 +59,7 @@
 		if m == nil {
 			m = p.model(h.Server)
 		}
-		m.others[from] = hinted{Hint: h, at: now}
+		m.others[from] = hinted{Hint: h, until: until}
 		m.remember(now, h.Parts, h.Memory)
 	}
 }
--- a/routing/placer.go
+++ b/routing/placer.go
@@ -87,9 +87,6 @@
 	slowMemory = 4 * time.Second
 	slowGain   = 0.25
 	maxSlow    = 30.0
-	// hintMemory is how long another gateway's word on its own requests counts:
-	// five of its messages.
-	hintMemory = 700 * time.Millisecond
 	// reportMemory is how long a server's own figures count.
 	reportMemory = 700 * time.Millisecond
 	// demandMemory is the half-life of the demand that sizes the pools.
--- a/routing/placer_test.go
+++ b/routing/placer_test.go
@@ -141,9 +141,9 @@
 func TestRefusedRequestLeavesNoParts(t *testing.T) {
 	p, other := newTestPlacer("dc-0"), newTestPlacer("dc-1")
 	ticket := p.Sent(epoch, comparison("part"), "engine-0", Choice{Uncached: 17_000})
-	other.TakeHints(epoch, "first", p.Hints(epoch))
+	other.TakeHints(epoch, epoch.Add(700*time.Millisecond), "first", p.Hints(epoch))
 	ticket.Ended(epoch.Add(time.Millisecond), Refused)
-	other.TakeHints(epoch, "first", p.Hints(epoch))
+	other.TakeHints(epoch, epoch.Add(700*time.Millisecond), "first", p.Hints(epoch))
 	for name, placer := range map[string]*Placer{"the gateway": p, "the other one": other} {
 		if n := placer.model("engine-0").uncached(comparison("part"), false); n != 17_000 {
 			t.Errorf("%s expects %d tokens to read", name, n)
@@ -259,7 +259,7 @@
 		elsewhere = servers[1].ID
 	}
 	other.Sent(epoch, comparison("part"), elsewhere, Choice{Uncached: 17_000})
-	one.TakeHints(epoch, "other", other.Hints(epoch))
+	one.TakeHints(epoch, epoch.Add(700*time.Millisecond), "other", other.Hints(epoch))
 	id, c := choose(t, one, epoch, comparison("part"), servers)
 	if id != elsewhere || c.Uncached != 17_000-13_300 {
 		t.Errorf("chose %s with %d tokens to read, the other gateway sent it to %s", id, c.Uncached, elsewhere)
--- a/routing/server.go
+++ b/routing/server.go
@@ -130,7 +130,7 @@
 func (m *serverModel) load(now time.Time) load {
 	l := load{open: m.open, held: m.held, unread: m.unread, tight: m.tight}
 	for _, h := range m.others {
-		if now.Sub(h.at) < hintMemory {
+		if now.Before(h.until) {
 			l.open += h.Open
 			l.held += h.Held
 			l.unread += h.Unread
