Bound reads of the store after one failed

Change: no refresh for 250 ms after one failed. TestRefreshesAreBounded failed first with 100 calls for 100 requests.

--- a/gateway/view.go
+++ b/gateway/view.go
@@ -30,6 +30,10 @@
 	// refreshTimeout bounds a read of the configuration that a request waits
 	// for.
 	refreshTimeout = 400 * time.Millisecond
+	// refreshPause is how long no refresh is tried after one failed: requests
+	// that need one come faster than a store recovers, and refused calls are
+	// priced too.
+	refreshPause = 250 * time.Millisecond
 	// firstPause and maxPause bound the pause after a failed call.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
@@ -55,6 +59,8 @@
 	away        bool
 	mu          sync.Mutex
 	refreshes   singleflight.Group
+	// refreshFailed is when a refresh failed last.
+	refreshFailed atomic.Int64
 	// gone is told of backend servers that are gone, accepted of each table
 	// that comes into force.
 	gone     func(id string)
@@ -118,12 +124,16 @@
 		return true
 	}
 	began := v.elapsed()
+	if failed := v.refreshFailed.Load(); failed > 0 && began-time.Duration(failed) < refreshPause {
+		return false
+	}
 	done := v.refreshes.DoChan("configuration", func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
 		defer cancel()
 		at := v.elapsed()
 		table, err := v.store.Configuration(ctx)
 		if err != nil {
+			v.refreshFailed.Store(int64(v.elapsed()))
 			return nil, err
 		}
 		v.accept(table, "refresh")
