Let prompts wait at the gateways when engines are behind

Change: an engine has room while a quarter of a second of prompts waits there and running requests hold a seventh of its memory for tokens of their own; the rest waits at the gateways up to half of its goal, more urgent requests finding room first, and is then refused with a time to come back (admission.Gate, unchanged).

--- a/routing/placer.go
+++ b/routing/placer.go
@@ -28,10 +28,15 @@
 	// waitingShare is how much the prompt tokens that wait at a server delay a
 	// new request: they are read in turns, not one prompt after the other.
 	waitingShare = 1.0
-	// runShare is the part of a server's memory that the parts of running
+	// runShare is the part of a server's memory that the tokens of running
 	// requests which nothing else shares may hold; the rest is for shared parts,
-	// which must not be pushed out and read again.
-	runShare = 0.4
+	// which must not be pushed out and read again: with prompts of which a fifth
+	// is their own, running requests hold several times as much shared.
+	runShare = 0.14
+	// readAhead is how much of prompts may wait at an engine, in milliseconds of
+	// its reading; more waits at the gateways, where the most urgent goes first
+	// and nothing holds memory.
+	readAhead = 250.0
 	// rankShare is how much less of it each rank of urgency may use, so that more
 	// urgent requests find room.
 	rankShare = 0.03
@@ -187,8 +192,8 @@
 	Penalty float64
 	// Uncached is how many tokens are expected to be read.
 	Uncached int
-	// Full says that the running requests hold so much of the server's memory
-	// that it has none for this one beside cached parts.
+	// Full says that the server has no room for the job at its rank: running
+	// requests hold too much of its memory, or too many prompts wait there.
 	Full bool
 	// FetchFrom is the id of the server from whose memory shared parts are
 	// fetched; empty is none.
@@ -449,7 +454,8 @@
 		c.Penalty += again
 		c.Wait = waitingShare*float64(l.unread)/service.readPace + openCost*float64(l.open)
 		over := j.overMemory(l.held)
-		c.Full = over > 0
+		ahead := readAhead * (1 - rankShare*float64(j.Rank))
+		c.Full = over > 0 || float64(l.unread)/service.readPace > ahead
 		c.Wait += memoryCost * over / service.readPace
 		c.Penalty += harm(l, tight, c.Read, service)
 	} else {
--- a/routing/placer_test.go
+++ b/routing/placer_test.go
@@ -305,3 +305,52 @@
 		t.Errorf("40 streams at once are spread over %v", used)
 	}
 }
+
+// TestRoomAtAnEngine replays a burst of long prompts at one engine: beyond a
+// quarter of a second of reading the rest waits at the gateways, less urgent ones
+// first; an idle engine is never full.
+func TestRoomAtAnEngine(t *testing.T) {
+	servers := nineEngines()[:1]
+	p := newTestPlacer("dc-0")
+	urgent, patient := comparison("part"), comparison("part")
+	patient.Rank = 9
+	if _, c := choose(t, p, epoch, patient, servers); c.Full {
+		t.Errorf("an idle engine is full: %+v", c)
+	}
+	sent := 0
+	for ; sent < 100; sent++ {
+		_, c := choose(t, p, epoch, urgent, servers)
+		if c.Full {
+			break
+		}
+		p.Sent(epoch, urgent, servers[0].ID, c)
+	}
+	if read := p.model(servers[0].ID).load(epoch).unread; float64(read) > (readAhead+300)*defaultReadPace {
+		t.Errorf("%d prompts with %d tokens wait at the engine", sent, read)
+	}
+	for i := range 5 {
+		p.Sent(epoch, question(), servers[0].ID, Choice{Index: i, Uncached: 100})
+	}
+	if _, c := choose(t, p, epoch, patient, servers); !c.Full {
+		t.Error("a less urgent request finds room where an urgent one finds none")
+	}
+}
+
+// TestRunningRequestsLeaveMemoryForSharedParts replays many long answers: their
+// prompts were read, but they hold memory.
+func TestRunningRequestsLeaveMemoryForSharedParts(t *testing.T) {
+	servers := nineEngines()[:1]
+	p := newTestPlacer("dc-0")
+	sent := 0
+	for ; sent < 200; sent++ {
+		_, c := choose(t, p, epoch, comparison("part"), servers)
+		if c.Full {
+			break
+		}
+		p.Sent(epoch, comparison("part"), servers[0].ID, c).FirstEvent(epoch.Add(80 * time.Millisecond))
+	}
+	held := p.model(servers[0].ID).load(epoch).held
+	if sent == 200 || float64(held) > runShare*567_000 {
+		t.Errorf("%d requests hold %d tokens that nothing shares", sent, held)
+	}
+}
