Split the placer by job; name the settings variable in the adapter only

Change: pools and holders of parts have files of their own; sesame-gateway asks the adapter for the variable. No behaviour changes.

--- a/cmd/sesame-gateway/main.go
+++ b/cmd/sesame-gateway/main.go
@@ -20,7 +20,7 @@
 // flags are the settings of the program itself; those of the VM and the
 // deployment stand in the platform's settings file.
 type flags struct {
-	Boot          string `env:"SESAMESWITCH_BOOT" required:"" help:"Path of the platform's settings file."`
+	Boot          string `help:"Path of the platform's settings file; without it the platform's own variable names it."`
 	MetricsListen string `validate:"omitempty,tcp_addr" help:"Address for counters and histograms; empty serves none."`
 	LogLines      int    `default:"2048" validate:"min=16,max=1000000" help:"Log lines that are held while standard output is slow; further ones are dropped and counted."`
 	LogLevel      string `default:"info" validate:"oneof=debug info warning error" help:"Least level of log lines: debug, info, warning or error."`
@@ -54,6 +54,9 @@
 		case <-time.After(logFlushTimeout):
 		}
 	}()
+	if f.Boot == "" {
+		f.Boot = os.Getenv(platform.SettingsVariable)
+	}
 	file := &platform.SettingsFile{Path: f.Boot}
 	daemon, err := gateway.NewDaemon(gateway.Platform{
 		Codec:        platform.Codec{},
--- a/routing/placer.go
+++ b/routing/placer.go
@@ -1,12 +1,8 @@
 package routing
 
 import (
-	"math"
-	"slices"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // A Placer chooses among backend servers that many gateways reach directly. It
@@ -266,72 +262,6 @@
 	return j.MaxPause <= limit && most > limit
 }
 
-// addDemand counts the tokens of a job for the size of the pools.
-func (s *serviceModel) addDemand(now time.Time, tight bool, tokens float64) {
-	decay := halfLife(now.Sub(s.demandAt), demandMemory)
-	s.demandAt = now
-	s.demand[0] *= decay
-	s.demand[1] *= decay
-	s.demand[poolIndex(tight)] += tokens
-}
-
-func poolIndex(tight bool) int {
-	if tight {
-		return 1
-	}
-	return 0
-}
-
-// tightServers is how many of n servers the tight streams get.
-func (s *serviceModel) tightServers(n int) int {
-	total := s.demand[0] + s.demand[1]
-	if n < minPoolServers || total == 0 || s.demand[1] == 0 {
-		return 0
-	}
-	share := min(maxTightShare, tightNeed*s.demand[1]/total)
-	return max(1, int(math.Round(share*float64(n))))
-}
-
-// halfLife is what is left of 1 after a time.
-func halfLife(elapsed, half time.Duration) float64 {
-	if elapsed <= 0 {
-		return 1
-	}
-	return math.Exp2(-float64(elapsed) / float64(half))
-}
-
-// poolOf marks the servers of the tight pool: the first by a hash of their
-// ids, so that all gateways agree and few change when servers come or go.
-func poolOf(servers []Server, tightServers int) []bool {
-	tight := make([]bool, len(servers))
-	for range tightServers {
-		best, lowest := -1, uint64(0)
-		for i := range servers {
-			h := mix(xxhash.Sum64String(servers[i].ID))
-			if !tight[i] && (best < 0 || h < lowest) {
-				best, lowest = i, h
-			}
-		}
-		tight[best] = true
-	}
-	return tight
-}
-
-// owner returns the server of a pool where all gateways expect a part, or -1.
-func owner(servers []Server, pool []bool, tight bool, part string) int {
-	hash := xxhash.Sum64String(part)
-	best, highest := -1, uint64(0)
-	for i := range servers {
-		if pool[i] != tight {
-			continue
-		}
-		if h := mix(hash ^ xxhash.Sum64String(servers[i].ID)); best < 0 || h > highest {
-			best, highest = i, h
-		}
-	}
-	return best
-}
-
 // Choose returns the server with the least expected cost among those that are
 // not excluded; ok is false when there is none.
 func (p *Placer) Choose(now time.Time, j *Job, servers []Server, excluded map[string]bool) (Choice, bool) {
@@ -372,69 +302,6 @@
 	return expected * min(maxUrgency, max(minUrgency, share))
 }
 
-// holder is the server that has read most of a prompt.
-type holder struct {
-	server     string
-	dataCentre string
-	// tokens is how much of the prompt it has read.
-	tokens int
-	// least is the least number of tokens that any server must read.
-	least int
-	// usualWait is the median time that prompts wait at the servers, in
-	// milliseconds.
-	usualWait float64
-}
-
-// readings returns the server that is taken to hold the job's first part when
-// none is known to, or -1, and the one that holds most of its prompt.
-func (p *Placer) readings(j *Job, servers []Server, pool []bool, tight bool) (home int, h holder) {
-	home, h.least = -1, j.PromptTokens
-	if len(j.Parts) == 0 {
-		return home, h
-	}
-	known := false
-	for i := range servers {
-		m := p.model(servers[i].ID)
-		known = known || m.parts[j.Parts[0].ID] != nil
-		h.least = min(h.least, m.uncached(j, false))
-		if read := m.readTokens(j); read > h.tokens {
-			h.server, h.dataCentre, h.tokens = servers[i].ID, servers[i].DataCentre, read
-		}
-	}
-	if known {
-		return home, h
-	}
-	if home = owner(servers, pool, tight, j.Parts[0].ID); home >= 0 {
-		h.least = p.model(servers[home].ID).uncached(j, true)
-	}
-	return home, h
-}
-
-// usualWait is the median time over the servers to read what waits there: one
-// that is far behind does not count for more.
-func (p *Placer) usualWait(now time.Time, service *serviceModel, servers []Server) float64 {
-	unread := make([]int, len(servers))
-	for i := range servers {
-		unread[i] = p.model(servers[i].ID).load(now).unread
-	}
-	slices.Sort(unread)
-	return float64(unread[len(unread)/2]) / service.readPace
-}
-
-// fetchTime returns what fetching from the holder costs, in milliseconds, and
-// how many tokens need not be read then.
-func (m *serverModel) fetchTime(j *Job, s *Server, h *holder) (cost float64, saved int) {
-	saved = h.tokens - m.readTokens(j)
-	if j.FetchPace == 0 || h.server == "" || h.server == s.ID || saved < minFetchTokens {
-		return 0, 0
-	}
-	cost = fetchSetup + float64(saved)/j.FetchPace + fetchCost*float64(saved)*j.TokenBytes/1e9
-	if s.DataCentre != h.dataCentre {
-		cost += float64(saved) / j.FetchPace
-	}
-	return cost, saved
-}
-
 // weigh estimates the job's cost at one server.
 func (p *Placer) weigh(now time.Time, j *Job, service *serviceModel, s *Server, assumed, tight bool, h holder) Choice {
 	m := p.model(s.ID)
