--- a/directory/directory.go
+++ b/directory/directory.go
@@ -248,10 +248,3 @@
 	r := d.records[s.ID]
 	return r != nil && r.server != nil && !r.server.Draining && r.server.Born == s.Born && r.server.Address == s.Address
 }
-
-// Known returns how many entries are held.
-func (d *Directory) Known() int {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return len(d.records)
-}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -185,7 +185,6 @@
 // answer has one request answered. It returns whether the connection goes on.
 func (c *conn) answer(req *Request) bool {
 	c.server.inFlight.Add(1)
-	c.server.started.Add(1)
 	defer c.server.inFlight.Add(-1)
 	_ = c.nc.SetReadDeadline(time.Time{})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -54,7 +54,6 @@
 	conns    map[*conn]struct{}
 	closed   bool
 	inFlight atomic.Int64
-	started  atomic.Int64
 }
 
 // New returns a server.
@@ -65,9 +64,6 @@
 // InFlight returns how many requests are being answered.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// Started returns how many requests were begun.
-func (s *Server) Started() int64 { return s.started.Load() }
-
 // Connections returns how many connections are open.
 func (s *Server) Connections() int {
 	s.mu.Lock()
--- a/retry/window.go
+++ b/retry/window.go
@@ -41,15 +41,7 @@
 	b.requests[0]++
 }
 
-// Allowed returns how many repeats the gateway may still make now, as one of
-// the given number of gateways.
-func (b *WindowBudget) Allowed(now time.Time, gateways int) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.advance(now)
-	return b.left(gateways)
-}
-
+// left is how many repeats this gateway may still make.
 func (b *WindowBudget) left(gateways int) float64 {
 	requests, repeats := 0, 0
 	for i := range b.requests {
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -242,9 +242,6 @@
 // Service returns the service with the name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Services returns how many services are configured.
-func (t *Table) Services() map[string]*Service { return t.services }
-
 // Routes returns the routes by name. The map must not be changed.
 func (t *Table) Routes() map[string]*Route { return t.names }
 
--- a/routing/placer.go
+++ b/routing/placer.go
@@ -361,15 +361,3 @@
 	defer p.mu.Unlock()
 	delete(p.servers, gone)
 }
-
-// Open returns how many of this gateway's requests the server holds, and the
-// tokens of them.
-func (p *Placer) Open(id string) (requests, tokens int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m := p.servers[id]
-	if m == nil {
-		return 0, 0
-	}
-	return m.open, m.held
-}
--- a/routing/server.go
+++ b/routing/server.go
@@ -398,11 +398,3 @@
 	m.reportedAt = now
 	m.reported = max(0, running+waiting-m.open)
 }
-
-// Slow notes that a server has shown nothing for a request so far.
-func (t *Ticket) Slow(now time.Time) {
-	t.placer.mu.Lock()
-	defer t.placer.mu.Unlock()
-	m := t.placer.model(t.server)
-	m.addSlow(now, milliseconds(now.Sub(t.sent)), t.expected+firstEventBase)
-}
