Do not confirm keys while a newer configuration cannot be read; one reload at a time

A version that could not be decoded was reported, and the next watch that told nothing new confirmed the keys of the version before, so a key that the unread version takes away would be served on. SIGHUP and the regular look read the settings file at once, without a lock.

Change: a version that could not be read keeps the view unconfirmed until one that can is in force; reloads take a lock.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -78,6 +79,8 @@
 	ingress  *ingress.Server
 	peers    *Peers
 	life     *life
+	// reloading keeps a signal and the regular look at the settings apart.
+	reloading sync.Mutex
 	// callers and readiness are open after Listen.
 	callers, readiness net.Listener
 }
@@ -283,6 +286,8 @@
 // reload takes in changed settings as a whole; faulty ones are refused and the
 // last good ones stay in force.
 func (d *Daemon) reload() {
+	d.reloading.Lock()
+	defer d.reloading.Unlock()
 	settings, err := d.platform.ReadSettings()
 	switch {
 	case err != nil:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,9 +101,11 @@
 type Delta struct {
 	Revision uint64
 	// Tables are the versions of the configuration in order.
-	Tables  []*routes.Table
-	Servers []directory.Change
-	Faults  []error
+	Tables []*routes.Table
+	// TableUnread says that the newest version could not be read.
+	TableUnread bool
+	Servers     []directory.Change
+	Faults      []error
 }
 
 // Store reads the platform's store. Any call may fail, hang until its context
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -61,6 +61,8 @@
 	refreshes   singleflight.Group
 	// refreshFailed is when a refresh failed last.
 	refreshFailed atomic.Int64
+	// unread says that a newer table than the one in force could not be read.
+	unread atomic.Bool
 	// gone is told of backend servers that are gone, accepted of each table
 	// that comes into force.
 	gone     func(id string)
@@ -88,8 +90,12 @@
 // Listed reports whether the directory was read once.
 func (v *View) Listed() bool { return v.listed.Load() }
 
-// confirm notes that the table in force was the newest at the time.
+// confirm notes that the table in force was the newest at the time, unless a
+// newer one is known that could not be read: its keys are not known.
 func (v *View) confirm(at time.Duration) {
+	if v.unread.Load() {
+		return
+	}
 	for {
 		last := v.confirmedAt.Load()
 		if int64(at) <= last || v.confirmedAt.CompareAndSwap(last, int64(at)) {
@@ -137,6 +143,7 @@
 			return nil, err
 		}
 		v.accept(table, "refresh")
+		v.unread.Store(false)
 		v.confirm(at)
 		return nil, nil
 	})
@@ -192,6 +199,9 @@
 	for _, t := range delta.Tables {
 		v.accept(t, "watch")
 	}
+	if len(delta.Tables) > 0 || delta.TableUnread {
+		v.unread.Store(delta.TableUnread)
+	}
 	v.confirm(began)
 	v.tell(v.directory.Apply(time.Unix(0, int64(v.elapsed())), delta.Servers, delta.Revision), delta.Faults)
 	return nil
@@ -209,6 +219,7 @@
 	v.answered()
 	v.accept(snapshot.Table, "list")
 	if snapshot.Table != nil {
+		v.unread.Store(false)
 		v.confirm(began)
 	}
 	events, fresh := v.directory.Replace(time.Unix(0, int64(v.elapsed())), snapshot.Servers, snapshot.Revision)
