Leave room at an engine for the other gateways that wait for it

When hints tell that an engine has room, all 21 gateways see it at once, and each fills the whole of it before the next hints: 15 to 57 sends to one engine within 100 ms (the mean is one), several seconds of prompts, which then push each other out of its memory.

Change: until its own sends can be known to the others, a gateway counts them once for each gateway whose hints it gets when it asks whether an engine is full. One that hears nobody uses all room as before.

The test replays the rush and fails on the code before.

--- a/routing/hint.go
+++ b/routing/hint.go
@@ -54,6 +54,7 @@
 func (p *Placer) TakeHints(now, until time.Time, from string, hints []Hint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.peers[from] = until
 	for _, h := range hints {
 		m := p.servers[h.Server]
 		if m == nil {
@@ -63,3 +64,29 @@
 		m.remember(now, h.Parts, h.Memory)
 	}
 }
+
+// hintLag is the half-life of what a gateway sent as a sign of what the others
+// send meanwhile: by then most of their hints tell it.
+const hintLag = 100 * time.Millisecond
+
+// sentLately returns how many prompt tokens this gateway sent to the server
+// within the time that hints take. Gateways that wait for the same server see
+// it free at the same moment: each must leave as much room as it takes for each
+// of the others until their hints tell what they sent.
+func (m *serverModel) sentLately(now time.Time) float64 {
+	return m.sent * halfLife(now.Sub(m.sentAt), hintLag)
+}
+
+// livePeers is how many other gateways' hints count now. The others are
+// forgotten.
+func (p *Placer) livePeers(now time.Time) int {
+	live := 0
+	for from, until := range p.peers {
+		if now.Before(until) {
+			live++
+		} else {
+			delete(p.peers, from)
+		}
+	}
+	return live
+}
--- a/routing/holder.go
+++ b/routing/holder.go
@@ -16,6 +16,8 @@
 	// usualWait is the median time that prompts wait at the servers, in
 	// milliseconds.
 	usualWait float64
+	// peers is how many other gateways send to the servers.
+	peers int
 }
 
 // readings returns the server that is taken to hold the job's first part when
--- a/routing/placer.go
+++ b/routing/placer.go
@@ -203,11 +203,16 @@
 	dataCentre string
 	servers    map[string]*serverModel
 	services   map[string]*serviceModel
+	// peers is until when each other gateway's hints count.
+	peers map[string]time.Time
 }
 
 // NewPlacer returns a placer of a gateway in the data centre.
 func NewPlacer(dataCentre string) *Placer {
-	return &Placer{dataCentre: dataCentre, servers: make(map[string]*serverModel), services: make(map[string]*serviceModel)}
+	return &Placer{
+		dataCentre: dataCentre, servers: make(map[string]*serverModel), services: make(map[string]*serviceModel),
+		peers: make(map[string]time.Time),
+	}
 }
 
 // serviceModel is what was seen of a service as a whole.
@@ -274,6 +279,7 @@
 	tight = tight && tightServers > 0
 	home, held := p.readings(j, servers, pool, tight)
 	held.usualWait = p.usualWait(now, service, servers)
+	held.peers = p.livePeers(now)
 	best := Choice{Index: -1}
 	for i := range servers {
 		if excluded[servers[i].ID] {
@@ -322,7 +328,7 @@
 		c.Wait = waitingShare*float64(l.unread)/service.readPace + openCost*float64(l.open)
 		over := j.overMemory(l.held)
 		ahead := readAhead * (1 - rankShare*float64(j.Rank))
-		c.Full = over > 0 || float64(l.unread)/service.readPace > ahead
+		c.Full = over > 0 || (float64(l.unread)+float64(h.peers)*m.sentLately(now))/service.readPace > ahead
 		c.Wait += memoryCost * over / service.readPace
 		c.Penalty += harm(l, tight, c.Read, service)
 	} else {
--- a/routing/placer_test.go
+++ b/routing/placer_test.go
@@ -354,3 +354,58 @@
 		t.Errorf("%d requests hold %d tokens that nothing shares", sent, held)
 	}
 }
+
+// TestGatewaysThatWaitDoNotRushAFreedEngine replays the high load of a large
+// site: 21 gateways hold prompts for an engine that becomes free, and look every
+// 20 ms whether there is room. Before the first hints of what was sent, each may
+// use its own part of the room only, or one prompt.
+func TestGatewaysThatWaitDoNotRushAFreedEngine(t *testing.T) {
+	const gateways, waiting, prompt = 21, 8, 3700
+	engine := nineEngines()[:1]
+	placers := make([]*Placer, gateways)
+	for i := range placers {
+		placers[i] = newTestPlacer("dc-0")
+		for k := range gateways {
+			if k != i {
+				placers[i].TakeHints(epoch, epoch.Add(time.Second), fmt.Sprintf("gateway-%d", k), nil)
+			}
+		}
+	}
+	for i, p := range placers {
+		sent := 0
+		for look := range 5 {
+			now := epoch.Add(time.Duration(look) * 20 * time.Millisecond)
+			for range waiting {
+				j := &Job{Kind: "comparison", Service: "engines", Generates: true, PromptTokens: prompt, MemoryTokens: 567_000, MaxPause: 800 * time.Millisecond}
+				if _, c := choose(t, p, now, j, engine); !c.Full {
+					p.Sent(now, j, engine[0].ID, c)
+					sent++
+				}
+			}
+		}
+		if sent > 1 {
+			t.Errorf("gateway %d sent %d prompts before any hint", i, sent)
+		}
+	}
+}
+
+// TestAGatewayAloneUsesAllRoom shows that room is left for gateways that are
+// alive only.
+func TestAGatewayAloneUsesAllRoom(t *testing.T) {
+	engine := nineEngines()[:1]
+	p := newTestPlacer("dc-0")
+	p.TakeHints(epoch, epoch.Add(time.Second), "gateway-1", nil)
+	later := epoch.Add(2 * time.Second)
+	sent := 0
+	for range 8 {
+		j := &Job{Kind: "comparison", Service: "engines", Generates: true, PromptTokens: 3700, MemoryTokens: 567_000, MaxPause: 800 * time.Millisecond}
+		if _, c := choose(t, p, later, j, engine); !c.Full {
+			p.Sent(later, j, engine[0].ID, c)
+			sent++
+		}
+	}
+	const room = readAhead * defaultReadPace
+	if before := float64((sent - 1) * 3700); before > room || before+3700 <= room {
+		t.Errorf("%d prompts were sent into room for %.0f tokens", sent, room)
+	}
+}
--- a/routing/server.go
+++ b/routing/server.go
@@ -25,6 +25,10 @@
 	// tight are the open streams with the shortest pauses.
 	tight int
 
+	// sent are the decayed prompt tokens that this gateway sent there lately.
+	sent   float64
+	sentAt time.Time
+
 	reportedAt time.Time
 	// reported is how many requests of others the server's last report implied.
 	reported int
@@ -206,6 +210,8 @@
 	}
 	m.held += t.tokens
 	m.unread += c.Uncached
+	m.sent = m.sentLately(now) + float64(c.Uncached)
+	m.sentAt = now
 	m.memory = j.MemoryTokens
 	for _, part := range j.Parts {
 		if m.parts[part.ID] == nil {
