--- a/cmd/sesame-gateway/main.go
+++ b/cmd/sesame-gateway/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/sesameswitch/sesameswitch/gateway"
 	"github.com/sesameswitch/sesameswitch/platform"
+	"github.com/sesameswitch/sesameswitch/routing"
 	"github.com/sesameswitch/sesameswitch/settings"
 	"github.com/sesameswitch/sesameswitch/telemetry"
 )
@@ -24,6 +25,7 @@
 	MetricsListen string `validate:"omitempty,tcp_addr" help:"Address for counters and histograms; empty serves none."`
 	LogLines      int    `default:"2048" validate:"min=16,max=1000000" help:"Log lines that are held while standard output is slow; further ones are dropped and counted."`
 	LogLevel      string `default:"info" validate:"oneof=debug info warning error" help:"Least level of log lines: debug, info, warning or error."`
+	Policy        string `default:"sesame" validate:"oneof=sesame least" help:"How backend servers are chosen: sesame by the estimated cost, least by the fewest open requests, to compare with."`
 	settings.Printing
 }
 
@@ -62,7 +64,7 @@
 		Codec:        platform.Codec{},
 		Store:        func(address func() string) gateway.Store { return platform.NewStore(address) },
 		ReadSettings: file.Read,
-	}, gateway.Options{MetricsAddress: f.MetricsListen, Seed: uint64(time.Now().UnixNano())}, log) //nolint:gosec // a seed
+	}, gateway.Options{MetricsAddress: f.MetricsListen, Policy: routing.Policy(f.Policy), Seed: uint64(time.Now().UnixNano())}, log) //nolint:gosec // a seed
 	if err != nil {
 		return eris.Wrap(err, "start")
 	}
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -60,6 +60,8 @@
 	// MetricsAddress serves counters and histograms; empty is none.
 	MetricsAddress string
 	Seed           uint64
+	// Policy chooses backend servers; empty is the estimated cost.
+	Policy routing.Policy
 	// Elapsed replaces the clock that ages are taken from, in tests; nil is the
 	// boot clock.
 	Elapsed clock.Elapsed
@@ -98,6 +100,7 @@
 		d.log.WithFields(logrus.Fields{"event": "process_state", "state": state}).Info("process state")
 	})
 	placer := routing.NewPlacer(settings.DataCentre)
+	placer.Use(o.Policy)
 	elapsed := o.Elapsed
 	if elapsed == nil {
 		elapsed = clock.SinceBoot
--- a/routing/placer.go
+++ b/routing/placer.go
@@ -204,7 +204,8 @@
 	servers    map[string]*serverModel
 	services   map[string]*serviceModel
 	// peers is until when each other gateway's hints count.
-	peers map[string]time.Time
+	peers  map[string]time.Time
+	policy Policy
 }
 
 // NewPlacer returns a placer of a gateway in the data centre.
@@ -215,6 +216,15 @@
 	}
 }
 
+// Use replaces the policy. PolicyLeast takes the server with the fewest open
+// requests that the gateway knows of and never says that one is full: a baseline
+// to compare with. Any other stands for the estimated cost.
+func (p *Placer) Use(policy Policy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.policy = policy
+}
+
 // serviceModel is what was seen of a service as a whole.
 type serviceModel struct {
 	// readPace is the prompt tokens read in a millisecond.
@@ -272,6 +282,9 @@
 func (p *Placer) Choose(now time.Time, j *Job, servers []Server, excluded map[string]bool) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.policy == PolicyLeast {
+		return p.leastOpen(now, j, servers, excluded)
+	}
 	service := p.service(j.Service)
 	tight := service.tight(j)
 	tightServers := service.tightServers(len(servers))
@@ -298,6 +311,21 @@
 	return best, best.Index >= 0
 }
 
+// leastOpen is the choice of PolicyLeast.
+func (p *Placer) leastOpen(now time.Time, j *Job, servers []Server, excluded map[string]bool) (Choice, bool) {
+	best := Choice{Index: -1}
+	for i := range servers {
+		if excluded[servers[i].ID] {
+			continue
+		}
+		m := p.model(servers[i].ID)
+		if open := float64(m.load(now).open); best.Index < 0 || open < best.Cost {
+			best = Choice{Index: i, Cost: open, Uncached: m.uncached(j, false)}
+		}
+	}
+	return best, best.Index >= 0
+}
+
 // urgencyOf weighs a time to the answer against the job's goal: far below it a
 // delay costs nobody anything, near it the answer may come late.
 func urgencyOf(j *Job, expected float64) float64 {
--- a/routing/placer_test.go
+++ b/routing/placer_test.go
@@ -453,3 +453,21 @@
 		t.Errorf("%d tokens of a part that each request uses are taken for uncached", left)
 	}
 }
+
+// TestLeastOpenTakesTheFewest covers the baseline.
+func TestLeastOpenTakesTheFewest(t *testing.T) {
+	servers := nineEngines()
+	p := newTestPlacer("dc-0")
+	p.Use(PolicyLeast)
+	used := make(map[string]int)
+	for range 18 {
+		id, c := choose(t, p, epoch, comparison("one part"), servers)
+		p.Sent(epoch, comparison("one part"), id, c)
+		used[id]++
+	}
+	for _, s := range servers {
+		if used[s.ID] != 2 {
+			t.Errorf("%s got %d of 18 requests", s.ID, used[s.ID])
+		}
+	}
+}
