Move programs and relays of the proofs to testbed

Cause: a soak of the gateways needs the same harness (programs that are ended, frozen and started again by id, and links that lose bytes); prove kept its own.

Change: testbed.Program and testbed.Relay, used by prove.

--- a/prove/caller.go
+++ b/prove/caller.go
@@ -227,7 +227,7 @@
 // send sends a call through some entry and notes its beginning.
 func (k *caller) send(ctx context.Context, call *history.Call, p payment, path string, body []byte) (*http.Response, error) {
 	e := k.anyEntry()
-	call.Entry = e.name
+	call.Entry = e.Name
 	call.Invoked = k.c.now()
 	return k.post(ctx, e, path, p.account, p.key, p.class, body)
 }
--- a/prove/cluster.go
+++ b/prove/cluster.go
@@ -29,13 +29,13 @@
 
 // member is a process of the system under test.
 type member struct {
-	process
+	testbed.Program
 	vm    provider.VM
 	admin string
 	// callers is the address for callers, of entries only.
 	callers string
 	// link stands between the other processes and an agent.
-	link *relay
+	link *testbed.Relay
 	// busy is held by the failure that works on the member.
 	busy sync.Mutex
 }
@@ -45,10 +45,10 @@
 	opts    Options
 	began   time.Time
 	client  *http.Client
-	config  *process
-	list    *process
-	engines []*process
-	shops   []*process
+	config  *testbed.Program
+	list    *testbed.Program
+	engines []*testbed.Program
+	shops   []*testbed.Program
 	// addresses of the stand-ins, by name.
 	addresses map[string]string
 	entries   []*member
@@ -123,18 +123,18 @@
 	return nil
 }
 
-func (c *cluster) standIn(name, kind string, args ...string) (*process, error) {
+func (c *cluster) standIn(name, kind string, args ...string) (*testbed.Program, error) {
 	address, err := testbed.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
 	c.addresses[name] = address
-	p := &process{
-		name: name,
-		path: filepath.Join(c.opts.Bin, "sesame-standin"),
-		args: append([]string{kind, "--listen", address}, args...),
+	p := &testbed.Program{
+		Name: name,
+		Path: filepath.Join(c.opts.Bin, "sesame-standin"),
+		Args: append([]string{kind, "--listen", address}, args...),
 	}
-	if err := p.start(); err != nil {
+	if err := p.Start(); err != nil {
 		return nil, err
 	}
 	return p, c.await(startPatience, func() bool { return c.reachable(address) })
@@ -165,7 +165,7 @@
 		c.entries = append(c.entries, m)
 	}
 	for _, m := range c.members() {
-		if err := m.start(); err != nil {
+		if err := m.Start(); err != nil {
 			return err
 		}
 	}
@@ -188,11 +188,11 @@
 		return nil, "", err
 	}
 	m := &member{
-		process: process{name: name, path: filepath.Join(c.opts.Bin, program), env: c.opts.Environment},
+		Program: testbed.Program{Name: name, Path: filepath.Join(c.opts.Bin, program), Env: c.opts.Environment},
 		vm:      provider.VM{Name: name, Address: peers, DataCentre: "dc-1", Role: role, State: provider.VMLive},
 		admin:   admin,
 	}
-	m.args = []string{
+	m.Args = []string{
 		"--vm", name, "--data-centre", "dc-1", "--admin-listen", admin,
 		"--config-url", "http://" + c.addresses["config"], "--config-key", configKey,
 		"--vm-list-url", "http://" + c.addresses["vmlist"],
@@ -205,15 +205,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if m.link, err = newRelay(peers); err != nil {
+	if m.link, err = testbed.NewRelay(peers); err != nil {
 		return nil, err
 	}
-	m.vm.Address = m.link.address()
-	m.args = append(m.args, "--listen", peers, "--backend-url", "http://"+c.addresses[backend], "--slots", "8")
+	m.vm.Address = m.link.Address()
+	m.Args = append(m.Args, "--listen", peers, "--backend-url", "http://"+c.addresses[backend], "--slots", "8")
 	if backend[:1] == "e" {
-		m.args = append(m.args, "--backend-kind", "engine", "--models", chatModel+","+orderModel)
+		m.Args = append(m.Args, "--backend-kind", "engine", "--models", chatModel+","+orderModel)
 	} else {
-		m.args = append(m.args, "--backend-kind", "service", "--services", serviceName)
+		m.Args = append(m.Args, "--backend-kind", "service", "--services", serviceName)
 	}
 	return m, nil
 }
@@ -226,7 +226,7 @@
 	if m.callers, err = testbed.FreeAddress(); err != nil {
 		return nil, err
 	}
-	m.args = append(m.args, "--listen", m.callers, "--peer-listen", peers)
+	m.Args = append(m.Args, "--listen", m.callers, "--peer-listen", peers)
 	return m, nil
 }
 
@@ -234,19 +234,12 @@
 func (c *cluster) close() {
 	for _, m := range c.members() {
 		if m.link != nil {
-			m.link.close()
+			m.link.Close()
 		}
-		m.end()
+		m.End()
 	}
-	for _, p := range append(append([]*process{c.config, c.list}, c.engines...), c.shops...) {
-		p.end()
-	}
-}
-
-// end kills a process that was started.
-func (p *process) end() {
-	if p != nil && p.exited != nil {
-		p.kill()
+	for _, p := range append(append([]*testbed.Program{c.config, c.list}, c.engines...), c.shops...) {
+		p.End()
 	}
 }
 
@@ -264,7 +257,7 @@
 	}
 	for _, m := range c.members() {
 		if !c.ready(m) {
-			return eris.Errorf("%s is not ready after %v: %s", m.name, patience, m.stderr)
+			return eris.Errorf("%s is not ready after %v: %s", m.Name, patience, m.Stderr())
 		}
 	}
 	return err
--- a/prove/fault.go
+++ b/prove/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"github.com/sesameswitch/sesameswitch/testbed"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -40,10 +41,10 @@
 		{name: "freeze-entry", cause: frozen(entries)},
 		{name: "freeze-agent-long", cause: frozenLong(agents)},
 		{name: "freeze-entry-long", cause: frozenLong(entries)},
-		{name: "cut-link", cause: linked(linkCut)},
-		{name: "silent-link", cause: linked(linkSilent)},
-		{name: "lose-requests", cause: linked(linkLosesRequests)},
-		{name: "lose-answers", cause: linked(linkLosesAnswers)},
+		{name: "cut-link", cause: linked(testbed.LinkCut)},
+		{name: "silent-link", cause: linked(testbed.LinkSilent)},
+		{name: "lose-requests", cause: linked(testbed.LinkLosesRequests)},
+		{name: "lose-answers", cause: linked(testbed.LinkLosesAnswers)},
 		{name: "end-agent", graceful: true, cause: ended(agents)},
 		{name: "end-entry", graceful: true, cause: ended(entries)},
 		{name: "end-twice", graceful: true, cause: endedTwice},
@@ -111,11 +112,11 @@
 		release := c.claim(m)
 		defer release()
 		c.saveTimeline(m)
-		c.note("kill " + m.name)
-		m.kill()
+		c.note("kill " + m.Name)
+		m.Kill()
 		time.Sleep(lasting)
-		c.note("start " + m.name)
-		return m.start()
+		c.note("start " + m.Name)
+		return m.Start()
 	}
 }
 
@@ -125,11 +126,11 @@
 		m := pick(rng, group(c))
 		release := c.claim(m)
 		defer release()
-		c.note("freeze " + m.name)
-		m.freeze()
+		c.note("freeze " + m.Name)
+		m.Freeze()
 		time.Sleep(lasting)
-		c.note("thaw " + m.name)
-		m.thaw()
+		c.note("thaw " + m.Name)
+		m.Thaw()
 		return nil
 	}
 }
@@ -145,16 +146,16 @@
 }
 
 // linked damages the link to an agent.
-func linked(state linkState) func(*cluster, *rand.Rand, time.Duration) error {
+func linked(state testbed.LinkState) func(*cluster, *rand.Rand, time.Duration) error {
 	return func(c *cluster, rng *rand.Rand, lasting time.Duration) error {
 		m := pick(rng, c.agents)
 		release := c.claim(m)
 		defer release()
-		c.note(fmt.Sprintf("damage link to %s, state %d", m.name, state))
-		m.link.set(state)
+		c.note(fmt.Sprintf("damage link to %s, state %d", m.Name, state))
+		m.link.Set(state)
 		time.Sleep(lasting)
-		c.note("mend link to " + m.name)
-		m.link.set(linkOpen)
+		c.note("mend link to " + m.Name)
+		m.link.Set(testbed.LinkOpen)
 		return nil
 	}
 }
@@ -173,16 +174,16 @@
 // replace ends a member gracefully and starts it again after a while.
 func (c *cluster) replace(m *member, lasting time.Duration) error {
 	c.noteDeparture(m)
-	c.note("terminate " + m.name)
+	c.note("terminate " + m.Name)
 	watch := c.followTimeline(m)
-	err := m.terminate()
+	err := m.Terminate()
 	watch()
 	if err != nil {
 		return err
 	}
 	time.Sleep(lasting)
-	c.note("start " + m.name)
-	return m.start()
+	c.note("start " + m.Name)
+	return m.Start()
 }
 
 // endedTwice ends a member gracefully with a second signal, which must change
@@ -194,7 +195,7 @@
 	var second sync.WaitGroup
 	second.Go(func() {
 		time.Sleep(secondSignal)
-		m.signal(syscall.SIGTERM)
+		m.Signal(syscall.SIGTERM)
 	})
 	err := c.replace(m, max(lasting, 2*secondSignal))
 	second.Wait()
@@ -211,17 +212,17 @@
 	release := c.claim(m)
 	defer release()
 	c.saveTimeline(m)
-	m.kill()
-	if err := m.start(); err != nil {
+	m.Kill()
+	if err := m.Start(); err != nil {
 		return err
 	}
 	time.Sleep(lasting / 50)
-	c.note("terminate " + m.name + " during its start")
-	if err := m.terminate(); err != nil {
+	c.note("terminate " + m.Name + " during its start")
+	if err := m.Terminate(); err != nil {
 		return err
 	}
-	c.note("start " + m.name)
-	return m.start()
+	c.note("start " + m.Name)
+	return m.Start()
 }
 
 // replaceEntries ends all entries one after another, each when the one before
@@ -247,14 +248,14 @@
 	m := pick(rng, c.entries)
 	release := c.claim(m)
 	defer release()
-	c.note("freeze " + m.name)
-	m.freeze()
+	c.note("freeze " + m.Name)
+	m.Freeze()
 	if err := c.putVMs(m); err != nil {
 		return err
 	}
 	time.Sleep(lasting)
-	c.note("thaw " + m.name)
-	m.thaw()
+	c.note("thaw " + m.Name)
+	m.Thaw()
 	time.Sleep(lasting)
 	return c.putVMs()
 }
@@ -266,7 +267,7 @@
 	release := c.claim(m)
 	defer release()
 	m.vm.State = provider.VMLeaving
-	c.note("list says that " + m.name + " leaves")
+	c.note("list says that " + m.Name + " leaves")
 	if err := c.putVMs(); err != nil {
 		return err
 	}
@@ -294,8 +295,8 @@
 	release := c.claim(m)
 	defer release()
 	c.saveTimeline(m)
-	m.kill()
-	if err := m.start(); err != nil {
+	m.Kill()
+	if err := m.Start(); err != nil {
 		return err
 	}
 	time.Sleep(lasting)
--- a/prove/judge.go
+++ b/prove/judge.go
@@ -172,7 +172,7 @@
 // name; any call may have gone through an agent.
 func (c *cluster) through(call history.Call, name string) bool {
 	for _, e := range c.entries {
-		if e.name == name {
+		if e.Name == name {
 			return call.Entry == name
 		}
 	}
--- a/prove/recovery.go
+++ b/prove/recovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"github.com/sesameswitch/sesameswitch/testbed"
 	"io"
 	"math/rand/v2"
 	"slices"
@@ -45,9 +46,9 @@
 
 func scenarios() []scenario {
 	return []scenario{
-		{"agent killed", probeParts, probed(func(c *cluster) { c.agents[2].kill() })},
-		{"agent frozen", probeParts, probed(func(c *cluster) { c.agents[2].freeze() })},
-		{"silent connection", probeParts, probed(func(c *cluster) { c.agents[2].link.set(linkSilent) })},
+		{"agent killed", probeParts, probed(func(c *cluster) { c.agents[2].Kill() })},
+		{"agent frozen", probeParts, probed(func(c *cluster) { c.agents[2].Freeze() })},
+		{"silent connection", probeParts, probed(func(c *cluster) { c.agents[2].link.Set(testbed.LinkSilent) })},
 		{"agent killed", readyParts, restarted(func(c *cluster) *member { return c.agents[2] })},
 		{"entry killed", readyParts, restarted(func(c *cluster) *member { return c.entries[0] })},
 		{"configuration service down", forceParts, outageOf(config.Faults{Down: true})},
@@ -127,9 +128,9 @@
 func restarted(which func(*cluster) *member) func(*cluster) ([]time.Duration, error) {
 	return func(c *cluster) ([]time.Duration, error) {
 		m := which(c)
-		m.kill()
+		m.Kill()
 		began := c.now()
-		if err := m.start(); err != nil {
+		if err := m.Start(); err != nil {
 			return nil, err
 		}
 		err := c.await(startPatience, func() bool { return c.ready(m) })
--- a/prove/seed.go
+++ b/prove/seed.go
@@ -107,7 +107,7 @@
 		return 0
 	}
 	c.recorder.Observe(history.Observation{
-		Process: m.name + "/" + status.Process.Incarnation, At: c.now(), Version: status.ConfigVersion,
+		Process: m.Name + "/" + status.Process.Incarnation, At: c.now(), Version: status.ConfigVersion,
 	})
 	return status.ConfigVersion
 }
@@ -167,7 +167,7 @@
 	for _, m := range c.agents {
 		status, err := c.statusOf(m)
 		if err != nil || status.Load.Running+status.Load.Queued > 0 {
-			names = append(names, m.name)
+			names = append(names, m.Name)
 		}
 	}
 	return names
--- a/prove/timeline.go
+++ b/prove/timeline.go
@@ -50,7 +50,7 @@
 // function waits for that.
 func (c *cluster) followTimeline(m *member) (wait func()) {
 	over := make(chan struct{})
-	exited := m.exited
+	exited := m.Exited()
 	go func() {
 		defer close(over)
 		ticker := time.NewTicker(pollInterval * 5)
@@ -75,7 +75,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.departures = append(c.departures, departure{member: m.name, incarnation: incarnation, at: c.now()})
+	c.departures = append(c.departures, departure{member: m.Name, incarnation: incarnation, at: c.now()})
 }
 
 func (c *cluster) statusOf(m *member) (processstatus.Document, error) {
--- a/prove/relay.go
+++ b/testbed/relay.go
@@ -1,4 +1,4 @@
-package prove
+package testbed
 
 import (
 	"net"
@@ -8,51 +8,53 @@
 	"github.com/rotisserie/eris"
 )
 
-// linkState says what a relay does with traffic.
-type linkState int
+// LinkState says what a relay does with traffic.
+type LinkState int
 
 const (
-	// linkOpen passes everything on.
-	linkOpen linkState = iota
-	// linkCut closes all connections and refuses new ones.
-	linkCut
-	// linkSilent keeps connections open and loses all bytes both ways.
-	linkSilent
-	// linkLosesRequests loses the bytes towards the target.
-	linkLosesRequests
-	// linkLosesAnswers loses the bytes from the target.
-	linkLosesAnswers
+	// LinkOpen passes everything on.
+	LinkOpen LinkState = iota
+	// LinkCut closes all connections and refuses new ones.
+	LinkCut
+	// LinkSilent keeps connections open and loses all bytes both ways.
+	LinkSilent
+	// LinkLosesRequests loses the bytes towards the target.
+	LinkLosesRequests
+	// LinkLosesAnswers loses the bytes from the target.
+	LinkLosesAnswers
 )
 
-// relay is a TCP link between processes that can be damaged while in use. It
+// Relay is a TCP link between processes that can be damaged while in use. It
 // stands on an address of its own and passes connections on to a target.
-type relay struct {
+type Relay struct {
 	listener net.Listener
 	target   string
 
 	mu    sync.Mutex
-	state linkState
+	state LinkState
 	conns map[net.Conn]struct{}
 }
 
-func newRelay(target string) (*relay, error) {
+// NewRelay returns an open relay to a target.
+func NewRelay(target string) (*Relay, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, eris.Wrap(err, "relay")
 	}
-	r := &relay{listener: l, target: target, conns: make(map[net.Conn]struct{})}
+	r := &Relay{listener: l, target: target, conns: make(map[net.Conn]struct{})}
 	go r.accept()
 	return r, nil
 }
 
-func (r *relay) address() string { return r.listener.Addr().String() }
+// Address is where the relay listens.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
 
-// set changes what happens to traffic. Bytes lost meanwhile stay lost, so
+// Set changes what happens to traffic. Bytes lost meanwhile stay lost, so
 // connections on which any were lost are closed when the link opens again.
-func (r *relay) set(state linkState) {
+func (r *Relay) Set(state LinkState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if state == linkCut || state == linkOpen && r.state != linkOpen {
+	if state == LinkCut || state == LinkOpen && r.state != LinkOpen {
 		for c := range r.conns {
 			c.Close()
 		}
@@ -60,12 +62,13 @@
 	r.state = state
 }
 
-func (r *relay) close() {
+// Close ends the relay and all its connections.
+func (r *Relay) Close() {
 	r.listener.Close()
-	r.set(linkCut)
+	r.Set(LinkCut)
 }
 
-func (r *relay) accept() {
+func (r *Relay) accept() {
 	for {
 		from, err := r.listener.Accept()
 		if err != nil {
@@ -75,7 +78,7 @@
 	}
 }
 
-func (r *relay) join(from net.Conn) {
+func (r *Relay) join(from net.Conn) {
 	if !r.keep(from) {
 		from.Close()
 		return
@@ -91,22 +94,22 @@
 	}
 	defer r.drop(to)
 	var group sync.WaitGroup
-	group.Go(func() { r.copy(to, from, linkLosesRequests) })
-	group.Go(func() { r.copy(from, to, linkLosesAnswers) })
+	group.Go(func() { r.copy(to, from, LinkLosesRequests) })
+	group.Go(func() { r.copy(from, to, LinkLosesAnswers) })
 	group.Wait()
 }
 
-func (r *relay) keep(c net.Conn) bool {
+func (r *Relay) keep(c net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state == linkCut {
+	if r.state == LinkCut {
 		return false
 	}
 	r.conns[c] = struct{}{}
 	return true
 }
 
-func (r *relay) drop(c net.Conn) {
+func (r *Relay) drop(c net.Conn) {
 	c.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -114,7 +117,7 @@
 }
 
 // copy passes bytes on, unless the link loses them in this direction.
-func (r *relay) copy(to, from net.Conn, loses linkState) {
+func (r *Relay) copy(to, from net.Conn, loses LinkState) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, 32<<10)
@@ -123,7 +126,7 @@
 		if err != nil {
 			return
 		}
-		if state := r.current(); state == linkSilent || state == loses {
+		if state := r.current(); state == LinkSilent || state == loses {
 			continue
 		}
 		if _, err := to.Write(buffer[:n]); err != nil {
@@ -132,7 +135,7 @@
 	}
 }
 
-func (r *relay) current() linkState {
+func (r *Relay) current() LinkState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.state
