Soak real gateways under series of failures, and take signals first

No run of our own had gateways as separate processes with failures that come in series and overlap.

Change: package soak runs gateways between stand-ins and links that lose bytes, draws a plan of failures from a seed, and judges what callers and backend servers saw: at most once, true refusals, whole answers, order of events, keys taken away, accounts, drains, planned work, configuration that never goes back, the budget of repeats, processes that serve again.

The gateway now takes signals before it reads anything. Before its own code runs no program can; the soak therefore sends SIGHUP only once the process listens, which the platform's signal for a changed file does not promise either (docs/PROOFS.md).

Not covered: clocks that misbehave (the process reads the boot clock; tests inject one), links between gateways.

--- a/cmd/sesame-gateway/main.go
+++ b/cmd/sesame-gateway/main.go
@@ -30,13 +30,15 @@
 }
 
 func main() {
-	settings.Main(settings.Program{Name: "sesame-gateway", Description: "Serves callers on the users' platform."}, run)
+	signals := gateway.Signals()
+	program := settings.Program{Name: "sesame-gateway", Description: "Serves callers on the users' platform."}
+	settings.Main(program, func(f *flags) error { return run(f, signals) })
 }
 
 // logFlushTimeout bounds the time to write the last log lines.
 const logFlushTimeout = 200 * time.Millisecond
 
-func run(f *flags) error {
+func run(f *flags, signals <-chan os.Signal) error {
 	runtime.GOMAXPROCS(1) // an entry VM has less than one core
 	writer := telemetry.NewBoundedWriter(os.Stdout, f.LogLines)
 	log, err := telemetry.NewLogger(telemetry.FormatJSON, f.LogLevel, writer)
@@ -69,7 +71,7 @@
 		return eris.Wrap(err, "start")
 	}
 	limitMemory(daemon.MemoryBytes())
-	return daemon.Run()
+	return daemon.Run(signals)
 }
 
 // memoryShare is the part of the VM's memory that the collector aims at.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/sesameswitch/sesameswitch/admission"
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/directory"
+	"github.com/sesameswitch/sesameswitch/internal/mutation"
 	"github.com/sesameswitch/sesameswitch/routing"
 	"github.com/sesameswitch/sesameswitch/upstream"
 )
@@ -137,7 +138,7 @@
 		return ""
 	}
 	switch {
-	case last == mayHaveRun && !req.route.Idempotent():
+	case last == mayHaveRun && !req.route.Idempotent() && !mutation.Off(GuardOnce):
 		return "outcome_unknown"
 	case last == mayHaveRun && req.runs >= max(1, req.route.Attempts):
 		return "attempts_used"
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -171,12 +171,19 @@
 	return ingress.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
 }
 
-// Run serves until the process is asked to end by SIGTERM; SIGHUP reads the
-// settings again.
-func (d *Daemon) Run() error {
+// Signals begins to take the signals of the process. A program calls it before
+// anything else: a signal that comes earlier ends the process.
+func Signals() <-chan os.Signal {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals
+}
+
+// Run serves until the process is asked to end by SIGTERM; SIGHUP reads the
+// settings again.
+// Run serves until the process is asked to end by SIGTERM; SIGHUP reads the
+// settings again.
+func (d *Daemon) Run(signals <-chan os.Signal) error {
 	if err := d.Listen(); err != nil {
 		return err
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -13,6 +13,7 @@
 	"github.com/sesameswitch/sesameswitch/deployment"
 	"github.com/sesameswitch/sesameswitch/directory"
 	"github.com/sesameswitch/sesameswitch/ingress"
+	"github.com/sesameswitch/sesameswitch/internal/mutation"
 	"github.com/sesameswitch/sesameswitch/retry"
 	"github.com/sesameswitch/sesameswitch/routes"
 	"github.com/sesameswitch/sesameswitch/routing"
@@ -206,11 +207,19 @@
 	return req.table.Retired(req.Key)
 }
 
+// Guards that a test build can switch off.
+const (
+	// GuardOnce keeps a request that is not idempotent from a second run.
+	GuardOnce mutation.Guard = "gateway.once"
+	// GuardKeys refuses keys that were not confirmed within their bound.
+	GuardKeys mutation.Guard = "gateway.keys"
+)
+
 // keysConfirmed reports whether the keys in force were confirmed within the
 // bound for keys that were taken away.
 func (s *Server) keysConfirmed() bool {
 	bounds := s.deps.Settings().Bounds
-	return !bounds.StrictRevoke || s.deps.View.Age() < bounds.Revoke-revokeMargin
+	return !bounds.StrictRevoke || mutation.Off(GuardKeys) || s.deps.View.Age() < bounds.Revoke-revokeMargin
 }
 
 // job describes the request for the choice of a server.
--- a/prove/cluster.go
+++ b/prove/cluster.go
@@ -10,12 +10,11 @@
 	"sync"
 	"time"
 
-	"github.com/sesameswitch/sesameswitch/testbed"
-
 	"github.com/rotisserie/eris"
 
 	"github.com/sesameswitch/sesameswitch/history"
 	"github.com/sesameswitch/sesameswitch/provider"
+	"github.com/sesameswitch/sesameswitch/testbed"
 	"github.com/sesameswitch/sesameswitch/timeline"
 )
 
--- a/prove/fault.go
+++ b/prove/fault.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"github.com/sesameswitch/sesameswitch/testbed"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -15,6 +14,7 @@
 	"github.com/sesameswitch/sesameswitch/standin/engine"
 	"github.com/sesameswitch/sesameswitch/standin/service"
 	"github.com/sesameswitch/sesameswitch/standin/vmlist"
+	"github.com/sesameswitch/sesameswitch/testbed"
 )
 
 // fault is a failure that lasts for a while and is then mended. Graceful
--- a/prove/recovery.go
+++ b/prove/recovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"github.com/sesameswitch/sesameswitch/testbed"
 	"io"
 	"math/rand/v2"
 	"slices"
@@ -14,6 +13,7 @@
 	"github.com/sesameswitch/sesameswitch/history"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/standin/config"
+	"github.com/sesameswitch/sesameswitch/testbed"
 )
 
 const (
--- /dev/null
+++ b/soak/plan.go
@@ -0,0 +1,69 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kinds of failures.
+const (
+	KillGateway    = "gateway killed"
+	EndGateway     = "gateway told to end"
+	FreezeGateway  = "gateway frozen"
+	StoreFails     = "store fails"
+	StoreForgets   = "store forgets its history"
+	StoreCut       = "store cut off from one gateway"
+	LinkFails      = "link to a backend server fails"
+	ServerFails    = "backend server fails requests"
+	ServerCuts     = "backend server cuts answers"
+	ServerRefuses  = "backend server refuses"
+	ServerLeaves   = "backend server leaves"
+	NewVersion     = "configuration changes"
+	KeyTaken       = "key taken away"
+	SettingsReread = "settings read again"
+)
+
+var faultKinds = []string{
+	KillGateway, EndGateway, FreezeGateway, StoreFails, StoreForgets, StoreCut, LinkFails,
+	ServerFails, ServerCuts, ServerRefuses, ServerLeaves, NewVersion, KeyTaken, SettingsReread,
+}
+
+// Fault is one failure of a plan.
+type Fault struct {
+	Kind string
+	// At is when it begins, For how long it lasts.
+	At, For time.Duration
+	// Target is the gateway or backend server, Variant how it fails.
+	Target, Variant int
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%5.2fs %s, target %d, variant %d, for %.2fs", f.At.Seconds(), f.Kind, f.Target, f.Variant, f.For.Seconds())
+}
+
+// Lengths of failures. The longest is above the bound for keys, so that a frozen
+// gateway wakes with keys that were taken away meanwhile.
+const (
+	minFault = 200 * time.Millisecond
+	maxFault = 3 * time.Second
+)
+
+// Draw returns the plan of a seed. Failures overlap and may hit the same target
+// again.
+func Draw(o Options, seed uint64) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // repeatable on purpose
+	faults := make([]Fault, 0, o.Faults)
+	for range o.Faults {
+		faults = append(faults, Fault{
+			Kind:    faultKinds[rng.IntN(len(faultKinds))],
+			At:      time.Duration(rng.Int64N(int64(o.Duration * 3 / 4))),
+			For:     minFault + time.Duration(rng.Int64N(int64(maxFault-minFault))),
+			Target:  rng.IntN(max(o.Gateways, o.Servers)),
+			Variant: rng.IntN(4),
+		})
+	}
+	slices.SortFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return faults
+}
