Check settings of gateways and their configurations from the command line

Cause: `sesamectl check` knew the product's manifests only; what a gateway reads on the users' platform was checked first by a running gateway.

--- a/cmd/sesamectl/main.go
+++ b/cmd/sesamectl/main.go
@@ -27,16 +27,17 @@
 type commands struct {
 	Output ctl.Format `short:"o" enum:"text,json" default:"text" help:"Form of the results: text or json."`
 
-	Check    ctl.Check     `cmd:"" help:"Check manifests; print the path of each bad field."`
-	Diff     ctl.Diff      `cmd:"" help:"Show what changes in force between two manifests."`
-	Status   ctl.Status    `cmd:"" help:"Show state, configuration version and load of processes."`
-	Timeline ctl.Timeline  `cmd:"" help:"Merge the events of processes, from them or from files, in order."`
-	Explain  ctl.Explain   `cmd:"" help:"Print the way of a request over all gateways, from their logs."`
-	Incident ctl.Incident  `cmd:"" help:"Sum up a window of gateways' logs."`
-	Charts   ctl.Charts    `cmd:"" help:"Print the state charts that the processes follow."`
-	Schema   ctl.Schema    `cmd:"" help:"Print the JSON Schema of the manifest."`
-	Load     load.Command  `cmd:"" help:"Run experiments against real processes and report what came of them."`
-	Overhead load.Overhead `cmd:"" help:"Measure what entry and agent add to calls of an engine."`
+	Check    ctl.Check         `cmd:"" help:"Check manifests; print the path of each bad field."`
+	Settings ctl.CheckSettings `cmd:"" name:"check-settings" help:"Check settings files of gateways and configurations of their platform."`
+	Diff     ctl.Diff          `cmd:"" help:"Show what changes in force between two manifests."`
+	Status   ctl.Status        `cmd:"" help:"Show state, configuration version and load of processes."`
+	Timeline ctl.Timeline      `cmd:"" help:"Merge the events of processes, from them or from files, in order."`
+	Explain  ctl.Explain       `cmd:"" help:"Print the way of a request over all gateways, from their logs."`
+	Incident ctl.Incident      `cmd:"" help:"Sum up a window of gateways' logs."`
+	Charts   ctl.Charts        `cmd:"" help:"Print the state charts that the processes follow."`
+	Schema   ctl.Schema        `cmd:"" help:"Print the JSON Schema of the manifest."`
+	Load     load.Command      `cmd:"" help:"Run experiments against real processes and report what came of them."`
+	Overhead load.Overhead     `cmd:"" help:"Measure what entry and agent add to calls of an engine."`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print shell completion for the login shell."`
 }
