Keep the platform's names out of the soak

Cause: the soak named headers of the wire, which only platform/ may know.

Change: the stand-in writes a caller's request and tells what a request that arrived says.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/sesameswitch/sesameswitch/platform/standin"
 )
 
 // callPatience bounds the wait for an answer: above all times that the
@@ -109,8 +111,7 @@
 	k.used++
 	defer func() { c.done = time.Now() }()
 	_ = k.conn.SetDeadline(c.began.Add(callPatience)) // fails on a closed connection only, as does the write
-	body := "body of " + c.id
-	if _, c.err = fmt.Fprintf(k.conn, "POST /%s/x HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: %s\r\nX-Key: %s\r\nX-Tenant: forged\r\nX-Deadline-Ms: 5000\r\nContent-Length: %d\r\n\r\n%s", c.kind, c.id, c.key, len(body), body); c.err != nil {
+	if _, c.err = io.WriteString(k.conn, standin.CallerRequest("/"+c.kind+"/x", c.id, c.key, "body of "+c.id)); c.err != nil {
 		return
 	}
 	answer, err := http.ReadResponse(k.reader, nil)
@@ -119,7 +120,7 @@
 		return
 	}
 	defer answer.Body.Close()
-	c.status, c.sealed = answer.StatusCode, answer.Header.Get("X-Replica-Seal") != ""
+	c.status, c.sealed = answer.StatusCode, standin.Sealed(answer.Header)
 	content, err := io.ReadAll(answer.Body)
 	c.body, c.err = string(content), err
 	if answer.Close {
--- a/soak/server.go
+++ b/soak/server.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -133,10 +132,10 @@
 func (d *deployment) serve(s *server, e *standin.Exchange) bool {
 	faulty, left := s.state()
 	r := run{
-		server: s.ID, service: s.service, at: time.Now(), left: left, account: e.Header.Get("X-Tenant"), keyed: e.Header.Get("X-Key") != "",
-		refused: faulty == ServerRefuses || e.Header.Get("X-Expect-Replica") != s.ID,
+		server: s.ID, service: s.service, at: time.Now(), left: left, account: e.Tenant(), keyed: e.Keyed(),
+		refused: faulty == ServerRefuses || e.Expects() != s.ID,
 	}
-	id := e.Header.Get("X-Attempt-Id")
+	id := e.AttemptID()
 	d.history.arrived(id, r)
 	if r.refused {
 		e.Refuse(map[bool]int{true: 503, false: 421}[faulty == ServerRefuses])
@@ -163,10 +162,7 @@
 
 // stream sends the events from the one that is asked for.
 func stream(e *standin.Exchange, id string, cut bool) bool {
-	from, err := strconv.Atoi(e.Header.Get("Last-Event-Id"))
-	if err != nil {
-		from = 0 // from the beginning
-	}
+	from := e.ResumeAfter()
 	e.StreamHead()
 	for n := from + 1; n <= pieces; n++ {
 		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, id)
