Log each decision of the retry budget with its inputs

The record of the incident does not show how many gateways each gateway counted nor what its budget held, so its hypotheses cannot be told apart. No decision changes; the budget returns its decision as a value instead of a bool.

--- a/ctl/decisions.go
+++ b/ctl/decisions.go
@@ -107,19 +107,29 @@
 	From  time.Time `placeholder:"TIME" help:"Start of the window, such as 2026-12-03T08:00:00Z; default: the first line."`
 	Until time.Time `placeholder:"TIME" help:"End of the window; default: the last line."`
 	Most  int       `default:"20" help:"Maximum number of rows of each table."`
+	// RetryWindow is the window of the retry budget.
+	RetryWindow time.Duration `default:"10s" help:"Length of the time window for which the retry budget holds."`
+}
+
+// incidentReport is the JSON output of Incident. The windows cover the entire log.
+type incidentReport struct {
+	*decisionlog.Summary
+	BusiestRetryWindows []decisionlog.RetryWindow
 }
 
 // Run prints how often each outcome of requests occurred by route, each result of
 // attempts by backend server, and each change of observed state within the window,
-// most frequent first.
+// most frequent first; and for each service the retry window with the most retries of
+// the entire log.
 func (i *Incident) Run(out *Output) error {
 	log, err := i.read()
 	if err != nil {
 		return err
 	}
 	summary := log.Summarize(i.From, i.Until)
+	busiest := log.BusiestRetryWindows(i.RetryWindow)
 	if out.Format == FormatJSON {
-		return out.json(summary)
+		return out.json(incidentReport{summary, busiest})
 	}
 	out.printf("%d lines, %d dropped by the processes\n", summary.Lines, summary.Dropped)
 	for _, table := range []struct {
@@ -131,6 +141,19 @@
 			out.printf("  %6d  %s\n", row.Occurrences, row.Key)
 		}
 	}
+	printRetryWindows(out, busiest[:min(len(busiest), i.Most)])
 	printUnreadable(out, log)
 	return nil
 }
+
+// printRetryWindows prints the windows with the most retries, with what each gateway
+// did in them.
+func printRetryWindows(out *Output, windows []decisionlog.RetryWindow) {
+	out.printf("most retries in one window\n")
+	for _, w := range windows {
+		out.printf("  %6d  %s from %s to %s\n", w.Retries, w.Service, w.From.UTC().Format("15:04:05.000"), w.Until.UTC().Format("15:04:05.000"))
+		for _, g := range w.Gateways {
+			out.printf("          %d by %s, %d starts, counted %d to %d gateways\n", g.Retries, g.VM, g.Starts, g.FewestCounted, g.MostCounted)
+		}
+	}
+}
--- a/decisionlog/decisionlog.go
+++ b/decisionlog/decisionlog.go
@@ -32,6 +32,7 @@
 	EventRequestRefused     = "request_refused"
 	EventNoCapacity         = "request_turned_away"
 	EventCallerDisconnected = "caller_gone"
+	EventRetryDecided       = "retry_decided"
 )
 
 // stateTopics maps each event that reports a state change to its topic. The state
@@ -40,6 +41,7 @@
 	"config_accepted": "configuration", "store_lost": "store", "store_regained": "store", "process_state": "process",
 	"backend_ready": "server", "backend_draining": "server", "backend_gone": "server", "backend_lapsed": "server", "backend_unusable": "server",
 	"settings_reloaded": "settings", "settings_refused": "settings", "peer_heard": "peer", "peer_lost": "peer",
+	"gateways_counted": "gateways",
 }
 
 // Line is one line of a log. The JSON output uses the names of the fields.
--- a/decisionlog/decisionlog_test.go
+++ b/decisionlog/decisionlog_test.go
@@ -73,6 +73,7 @@
 
 func FuzzRead(f *testing.F) {
 	f.Add(sample)
+	f.Add(retryLog)
 	f.Fuzz(func(t *testing.T, text string) {
 		l := &Log{}
 		if err := l.Read("fuzz", strings.NewReader(text)); err != nil {
@@ -86,5 +87,6 @@
 			l.Explain(line.Request)
 		}
 		l.Summarize(time.Time{}, time.Time{})
+		l.BusiestRetryWindows(time.Second)
 	})
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -169,7 +169,7 @@
 	case len(s.deps.Directory.Usable(req.service.Name)) <= len(req.excluded):
 		return "no_other_server"
 	}
-	if !s.retryBudget(req.service.Name).TryRetry(s.deps.Clock.Now(), s.deps.Gateways.LiveCount(), s.retryReserve(req, fwd)) {
+	if !s.takeRetry(req, s.retryReserve(req, fwd)) {
 		s.metrics.retriesRefused.Inc(1)
 		return "retry_budget"
 	}
@@ -177,6 +177,18 @@
 	return ""
 }
 
+// takeRetry takes a retry from the budget of the request's service, and logs the
+// decision with its inputs.
+func (s *Server) takeRetry(req *request, reserve float64) bool {
+	gateways := s.deps.Gateways.LiveCount()
+	d := s.retryBudget(req.service.Name).TryRetry(s.deps.Clock.Now(), gateways, reserve)
+	req.log.WithFields(logrus.Fields{
+		"event": "retry_decided", "service": req.service.Name, "allowed": d.Allowed, "sends": req.attempts, "gateways": gateways,
+		"window_requests": d.Requests, "window_retries": d.Retries, "share": d.Share, "remaining": d.Remaining, "reserve": reserve,
+	}).Info("retry decided by the budget")
+	return d.Allowed
+}
+
 // retryReserve returns the number of retries that must remain in the budget after
 // a retry of the request. They are reserved for interrupted streams, which
 // callers cannot request again; other requests can still be refused.
@@ -252,7 +264,7 @@
 	}
 	info := &AttemptInfo{ServerID: chosen.server.ID, Account: account, TimeRemaining: remaining, Rank: req.rank(), ResumeAfter: fwd.resumeAfter(), TransferSource: chosen.transferSource}
 	req.log.WithFields(logrus.Fields{
-		"event": "attempt_sent", "server": chosen.server.ID, "address": chosen.server.Address, "route": req.route.Name,
+		"event": "attempt_sent", "server": chosen.server.ID, "address": chosen.server.Address, "service": req.service.Name, "route": req.route.Name,
 		"version": req.table.Version, "view_age_ms": s.deps.View.Age().Milliseconds(), "left_ms": remaining.Milliseconds(), "urgency": info.Rank,
 		"cost_ms": int(chosen.choice.Cost), "read_ms": int(chosen.choice.ServiceTime), "wait_ms": int(chosen.choice.Wait), "penalty_ms": int(chosen.choice.Penalty),
 		"prompt_tokens": req.job.PromptTokens, "output_tokens": req.job.OutputTokens, "uncached_tokens": chosen.choice.UncachedTokens,
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -157,6 +157,11 @@
 	startedAt time.Time
 	// lastNewPeerAt is when the first message of a new peer last arrived.
 	lastNewPeerAt time.Time
+	// reportedLive is the last reported number of live gateways.
+	reportedLive int
+	// OnLiveCount, if set before Run, is called with the number of live gateways
+	// when it has changed.
+	OnLiveCount func(live int)
 }
 
 // NewPeers returns the peers of a gateway that knows only its seeds.
@@ -339,10 +344,28 @@
 
 // sendHellos sends one round of hellos.
 func (p *Peers) sendHellos(conn *net.UDPConn) {
+	p.reportLiveCount()
 	targets, message := p.nextRound()
 	p.send(conn, targets, message)
 }
 
+// reportLiveCount logs the number of live gateways if it has changed, as limits that
+// all gateways share are divided by it.
+func (p *Peers) reportLiveCount() {
+	live := p.LiveCount()
+	p.mu.Lock()
+	previous := p.reportedLive
+	p.reportedLive = live
+	p.mu.Unlock()
+	if live == previous {
+		return
+	}
+	p.log.WithFields(logrus.Fields{"event": "gateways_counted", "gateways": live, "previous": previous}).Info("number of live gateways changed")
+	if p.OnLiveCount != nil {
+		p.OnLiveCount(live)
+	}
+}
+
 // send sends a message to several gateways.
 func (p *Peers) send(conn *net.UDPConn, targets []string, message peerMessage) {
 	content, err := msgpack.Marshal(&message)
--- a/retry/window.go
+++ b/retry/window.go
@@ -46,32 +46,46 @@
 	b.requests[0]++
 }
 
-// remaining returns how many retries this gateway may still make. It counts
-// requests over at most one window and retries over at least one window, so that
-// the bound holds in any window.
-func (b *WindowBudget) remaining(gateways int) float64 {
-	requests, retries := 0, 0
+// RetryDecision is a decision of a WindowBudget, with what it was based on.
+type RetryDecision struct {
+	Allowed bool
+	// Requests and Retries are what this gateway counted in the window, without the
+	// retry that is decided.
+	Requests, Retries int
+	// Share is this gateway's share of the extra retries.
+	Share float64
+	// Remaining is how many retries this gateway could still make before the decision.
+	Remaining float64
+}
+
+// decision returns what is known at the time of a decision. It counts requests
+// over at most one window and retries over at least one window, so that the bound
+// holds in any window.
+func (b *WindowBudget) decision(gateways int) RetryDecision {
+	d := RetryDecision{Share: b.extra / float64(max(1, gateways))}
 	for i := range b.requests {
-		retries += b.retries[i]
+		d.Retries += b.retries[i]
 		if i < windowBuckets {
-			requests += b.requests[i]
+			d.Requests += b.requests[i]
 		}
 	}
-	return b.ratio*float64(requests) + b.extra/float64(max(1, gateways)) - float64(retries)
+	d.Remaining = b.ratio*float64(d.Requests) + d.Share - float64(d.Retries)
+	return d
 }
 
-// TryRetry takes one retry from the budget; false means that the request must
-// not be retried. gateways is the number of gateways. reserve is how many
-// retries must remain in the budget for more important requests.
-func (b *WindowBudget) TryRetry(now time.Time, gateways int, reserve float64) bool {
+// TryRetry takes one retry from the budget if the decision allows it. gateways is
+// the number of gateways. reserve is how many retries must remain in the budget for
+// more important requests.
+func (b *WindowBudget) TryRetry(now time.Time, gateways int, reserve float64) RetryDecision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	if b.remaining(gateways) < 1+reserve {
-		return false
+	d := b.decision(gateways)
+	d.Allowed = d.Remaining >= 1+reserve
+	if d.Allowed {
+		b.retries[0]++
 	}
-	b.retries[0]++
-	return true
+	return d
 }
 
 // advance shifts the counts so that the newest bucket is the one that contains
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -28,7 +28,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap")) * time.Millisecond)
 			b := budgets[rapid.IntRange(0, n-1).Draw(t, "gateway")]
 			if rapid.IntRange(0, 2).Draw(t, "kind") > 0 {
-				if b.TryRetry(now, n, 0) {
+				if b.TryRetry(now, n, 0).Allowed {
 					retries = append(retries, now)
 				}
 				continue
@@ -61,11 +61,11 @@
 		reserve float64
 		want    bool
 	}{{1, true}, {1, true}, {1, false}, {0, true}, {0, false}} {
-		if got := b.TryRetry(epoch, 1, step.reserve); got != step.want {
+		if got := b.TryRetry(epoch, 1, step.reserve).Allowed; got != step.want {
 			t.Errorf("step %d: got TryRetry %v, want the opposite", i, got)
 		}
 	}
-	if !b.TryRetry(epoch.Add(11*time.Second), 1, 0) {
+	if !b.TryRetry(epoch.Add(11*time.Second), 1, 0).Allowed {
 		t.Error("no retry allowed one window later, want one")
 	}
 }
@@ -76,7 +76,7 @@
 	b := NewWindowBudget(0.2, 58, 10*time.Second)
 	retries := 0
 	for range 1000 {
-		if b.TryRetry(epoch, 5, 0) {
+		if b.TryRetry(epoch, 5, 0).Allowed {
 			retries++
 		}
 	}
