--- a/soak/check.go
+++ b/soak/check.go
@@ -273,7 +273,7 @@
 	}
 	var found []Violation
 	for service, n := range retries {
-		if limit := retryRatio*float64(calls[service]) + retryExtra; float64(n) > limit {
+		if limit := retryRatio*float64(calls[service]) + float64(d.opts.RetryExtra); float64(n) > limit {
 			found = append(found, Violation{retryBudget, fmt.Sprintf("%s: %d retries of %d requests, the bound is %.0f", service, n, calls[service], limit)})
 		}
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -26,11 +27,12 @@
 	// drainPeriod is the time for which a draining server may still get requests.
 	drainPeriod = 2 * time.Second
 	// The retries of a service may be at most retryRatio of its requests, plus
-	// retryExtra.
+	// Options.RetryExtra.
 	retryRatio = 0.2
-	retryExtra = 10
 	// initialKeyCount is the number of API keys in the first configuration.
 	initialKeyCount = 6
+	// unreachableSeed is an address at which no gateway listens.
+	unreachableSeed = "127.0.0.1:1"
 	// readyTimeout bounds the wait until a gateway accepts connections, and the
 	// wait until it is ready at the start of the test and after the last fault.
 	readyTimeout = 20 * time.Second
@@ -74,8 +76,9 @@
 	// interrupted.
 	disruptions []disruption
 	history     history
-	// cutsFirstRuns reports whether the plan contains CutFirstRuns.
-	cutsFirstRuns bool
+	// cutsFirstRuns, allRefuse and separated report whether the plan contains
+	// CutFirstRuns, AllServersRefuse and GatewaysSeparated.
+	cutsFirstRuns, allRefuse, separated bool
 }
 
 // disruption is the period of an unplanned fault.
@@ -87,8 +90,11 @@
 		return nil, eris.Wrap(err, "soak: create temporary directory")
 	}
 	d := &deployment{opts: o, dir: dir, store: standin.NewStore(), revokedAt: make(map[string]time.Time), startedAt: time.Now(), history: newHistory()}
-	if slices.ContainsFunc(plan, func(f Fault) bool { return f.Kind == CutFirstRuns }) {
-		d.cutsFirstRuns = true
+	contains := func(kind string) bool {
+		return slices.ContainsFunc(plan, func(f Fault) bool { return f.Kind == kind })
+	}
+	d.cutsFirstRuns, d.allRefuse, d.separated = contains(CutFirstRuns), contains(AllServersRefuse), contains(GatewaysSeparated)
+	if d.cutsFirstRuns {
 		d.disruptions = append(d.disruptions, disruption{d.startedAt, d.startedAt.Add(o.Duration)})
 	}
 	if err := d.start(); err != nil {
@@ -134,6 +140,9 @@
 		}
 		seedAddresses = append(seedAddresses, fmt.Sprintf("%q", addresses[i].control))
 	}
+	if d.separated {
+		seedAddresses = []string{strconv.Quote(unreachableSeed)}
+	}
 	for i, a := range addresses {
 		if err := d.startGateway(i, a, strings.Join(seedAddresses, ",")); err != nil {
 			return err
@@ -172,7 +181,7 @@
 retry_window_s = 10
 [platform]
 addr = %q
-`, name, seedAddresses, a.front, a.ready, a.control, maxRevocationDelay.Milliseconds(), drainPeriod.Milliseconds(), retryRatio, retryExtra, link.Address())
+`, name, seedAddresses, a.front, a.ready, a.control, maxRevocationDelay.Milliseconds(), drainPeriod.Milliseconds(), retryRatio, d.opts.RetryExtra, link.Address())
 	path := filepath.Join(d.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return eris.Wrap(err, "soak: write settings file")
@@ -262,7 +271,7 @@
 	case StoreLinkFault:
 		linkState := []testbed.LinkState{testbed.LinkDown, testbed.LinkBlackhole, testbed.LinkDropsResponses, testbed.LinkDropsRequests, testbed.LinkDelayed}[f.Variant]
 		d.disrupt(f, func() { g.storeLink.SetState(linkState) }, func() { g.storeLink.SetState(testbed.LinkOpen) })
-	case CutFirstRuns: // in effect from the start of the test
+	case CutFirstRuns, AllServersRefuse, GatewaysSeparated: // in effect from the start of the test
 	case ConfigChange:
 		d.publish()
 	case KeyRevocation:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -25,10 +25,16 @@
 	SettingsReload   = "settings read again"
 )
 
-// CutFirstRuns is a fault of all backend servers for the entire test: each cuts its
-// answer to the first run of every request that must not run twice. Random plans do
-// not contain it.
-const CutFirstRuns = "first run of each unrepeatable request is cut"
+// Faults in effect for the entire test. Random plans do not contain them.
+const (
+	// CutFirstRuns: each backend server cuts its answer to the first run of every
+	// request that must not run twice.
+	CutFirstRuns = "first run of each unrepeatable request is cut"
+	// AllServersRefuse: each backend server refuses every request.
+	AllServersRefuse = "all backend servers refuse"
+	// GatewaysSeparated: no gateway knows the address of another one.
+	GatewaysSeparated = "gateways cannot find each other"
+)
 
 var faultKinds = []string{
 	KillGateway, TerminateGateway, PauseGateway, StoreOutage, StoreCompaction, StoreLinkFault, ServerLinkFault,
--- a/soak/server.go
+++ b/soak/server.go
@@ -139,6 +139,9 @@
 // according to the active fault. It reports whether the connection stays usable.
 func (d *deployment) handleRequest(s *server, e *standin.Exchange) bool {
 	activeFault, drainingSince := s.state()
+	if d.allRefuse {
+		activeFault = ServerRefuses
+	}
 	r := receivedRequest{
 		server: s.ID, service: s.service, receivedAt: time.Now(), drainingSince: drainingSince, account: e.Tenant(), hasKey: e.HasKey(),
 		refused: activeFault == ServerRefuses || e.ExpectedReplica() != s.ID,
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -28,6 +28,9 @@
 	Callers int
 	// Faults is the number of faults in a plan.
 	Faults int
+	// RetryExtra is the number of retries of a service that the budget allows in
+	// addition to a fraction of the requests.
+	RetryExtra int
 	// Plan, if not nil, replaces the plan that the seed determines.
 	Plan []Fault
 	// Environment is added to the environment of the gateways.
@@ -36,7 +39,7 @@
 
 // DefaultOptions returns the options of a short test, without Bin.
 func DefaultOptions() Options {
-	return Options{Duration: 8 * time.Second, Gateways: 3, Servers: 3, Callers: 12, Faults: 10}
+	return Options{Duration: 8 * time.Second, Gateways: 3, Servers: 3, Callers: 12, Faults: 10, RetryExtra: 10}
 }
 
 // Violation describes how a history violates a guarantee.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -65,6 +65,30 @@
 	}
 }
 
+// TestRetriesOfRealGatewaysExceedBudget guards against gateways that together retry
+// more than the budget allows, after restarts and without knowing each other.
+func TestRetriesOfRealGatewaysExceedBudget(t *testing.T) {
+	o := soak.DefaultOptions()
+	o.Bin, o.RetryExtra = buildGateway(t), 60
+	second := time.Second
+	for name, plan := range map[string][]soak.Fault{
+		"restart-of-all": {
+			{Kind: soak.AllServersRefuse},
+			{Kind: soak.KillGateway, At: 3 * second, For: second / 5, Target: 0},
+			{Kind: soak.KillGateway, At: 3 * second, For: second / 5, Target: 1},
+			{Kind: soak.KillGateway, At: 3 * second, For: second / 5, Target: 2},
+		},
+		"gateways-separated": {{Kind: soak.AllServersRefuse}, {Kind: soak.GatewaysSeparated}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := o
+			o.Plan = plan
+			requirePass(t, soak.RunSeed(o, 1))
+		})
+	}
+}
+
 // TestRandomPlansPass runs the plans of a few seeds, which must violate no
 // guarantee.
 func TestRandomPlansPass(t *testing.T) {
