--- a/retry/window.go
+++ b/retry/window.go
@@ -46,8 +46,8 @@
 	b.requests[0]++
 }
 
-// RetryDecision is a decision of a WindowBudget, with what it was based on.
-type RetryDecision struct {
+// WindowDecision is a decision of a WindowBudget, with what it was based on.
+type WindowDecision struct {
 	Allowed bool
 	// Requests and Retries are what this gateway counted in the window, without the
 	// retry that is decided.
@@ -61,8 +61,8 @@
 // decision returns what is known at the time of a decision. It counts requests
 // over at most one window and retries over at least one window, so that the bound
 // holds in any window.
-func (b *WindowBudget) decision(gateways int) RetryDecision {
-	d := RetryDecision{Share: b.extra / float64(max(1, gateways))}
+func (b *WindowBudget) decision(gateways int) WindowDecision {
+	d := WindowDecision{Share: b.extra / float64(max(1, gateways))}
 	for i := range b.requests {
 		d.Retries += b.retries[i]
 		if i < windowBuckets {
@@ -76,7 +76,7 @@
 // TryRetry takes one retry from the budget if the decision allows it. gateways is
 // the number of gateways. reserve is how many retries must remain in the budget for
 // more important requests.
-func (b *WindowBudget) TryRetry(now time.Time, gateways int, reserve float64) RetryDecision {
+func (b *WindowBudget) TryRetry(now time.Time, gateways int, reserve float64) WindowDecision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
