Let requests pay only for retries of the same period

Cause, one of several: a gateway checked its budget over the window that ends with the retry. Requests of the last 10 s that needed no retry left up to 0.2 x their number to be spent at once. When callers then moved to other gateways, or to the next process of the same gateway, their requests paid for retries there, too, within the same window of the backend servers.

Why it works: a retry is allowed only if the bound holds for each period up to the window that ends now. Then it holds for any window at the servers, as the sum over any periods of any processes in it. The counts have 100 buckets instead of 20, since a period that begins within a bucket gets none of its requests. Less is retried at once after a quiet time: a gateway's share of the extra retries plus a fifth of the requests meanwhile. A share below two, in a large fleet, still allows a retry beside the reserve for streams, and one below one counts as one (TestSmallShareAllowsRetries).

--- a/retry/window.go
+++ b/retry/window.go
@@ -7,16 +7,17 @@
 
 // windowBuckets is the number of time buckets into which a WindowBudget divides
 // its window.
-const windowBuckets = 20
+const windowBuckets = 100
 
 // WindowBudget is one gateway's part of a budget that bounds the retries of a
 // service over all gateways, without shared state. It is safe for concurrent
 // use.
 //
 // Callers may assume this bound while all n gateways use the same number n: in
-// any window, each gateway makes at most ratio x its own requests + extra / n
-// retries, so that all gateways together make at most ratio x requests + extra
-// retries.
+// each period up to the window, each gateway makes at most ratio x its own requests
+// of this period + extra / n retries, but at least one. So all gateways together make
+// at most ratio x requests + extra retries in each window, also while callers move
+// from one gateway to another, as long as extra is not below n.
 type WindowBudget struct {
 	mu     sync.Mutex
 	ratio  float64
@@ -58,30 +59,32 @@
 	Remaining float64
 }
 
-// decision returns what is known at the time of a decision. It counts requests
-// over at most one window and retries over at least one window, so that the bound
-// holds in any window.
+// decision returns what is known at the time of a decision. The bound must hold for
+// each period that ends now: a window at the backend servers may begin at any time,
+// and the requests before it then pay for no retry in it. A period that begins within
+// a bucket has at most the retries of this bucket and those after it, and at least the
+// requests of the buckets after it.
 func (b *WindowBudget) decision(gateways int) WindowDecision {
-	d := WindowDecision{Share: b.extra / float64(max(1, gateways))}
+	d := WindowDecision{Share: max(1, b.extra/float64(max(1, gateways)))}
+	d.Remaining = d.Share
 	for i := range b.requests {
 		d.Retries += b.retries[i]
-		if i < windowBuckets {
-			d.Requests += b.requests[i]
-		}
+		d.Remaining = min(d.Remaining, b.ratio*float64(d.Requests)+d.Share-float64(d.Retries))
+		d.Requests += b.requests[i]
 	}
-	d.Remaining = b.ratio*float64(d.Requests) + d.Share - float64(d.Retries)
 	return d
 }
 
 // TryRetry takes one retry from the budget if the decision allows it. gateways is
 // the number of gateways. reserve is how many retries must remain in the budget for
-// more important requests.
+// more important requests; it is less if the share of this gateway is smaller than
+// reserve and one retry.
 func (b *WindowBudget) TryRetry(now time.Time, gateways int, reserve float64) WindowDecision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
 	d := b.decision(gateways)
-	d.Allowed = d.Remaining >= 1+reserve
+	d.Allowed = d.Remaining >= 1+min(reserve, d.Share-1)
 	if d.Allowed {
 		b.retries[0]++
 	}
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -7,9 +7,9 @@
 	"pgregory.net/rapid"
 )
 
-// TestGatewaysTogetherKeepWindowBudget checks that in any window all gateways
-// together make at most ratio x requests + extra retries, for any distribution of
-// the requests among them.
+// TestGatewaysTogetherKeepWindowBudget checks that in any window, whenever it begins,
+// all gateways together make at most ratio x requests + extra retries, for any
+// distribution of the requests among them.
 func TestGatewaysTogetherKeepWindowBudget(t *testing.T) {
 	const (
 		ratio  = 0.2
@@ -24,22 +24,26 @@
 		}
 		var requests, retries []time.Time
 		now := epoch
-		for range rapid.IntRange(1, 400).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap")) * time.Millisecond)
+		// Phases in which nothing fails, and in which everything does.
+		for range rapid.IntRange(1, 8).Draw(t, "phases") {
 			b := budgets[rapid.IntRange(0, n-1).Draw(t, "gateway")]
-			if rapid.IntRange(0, 2).Draw(t, "kind") > 0 {
-				if b.TryRetry(now, n, 0).Allowed {
+			failing := rapid.Bool().Draw(t, "failing")
+			gap := time.Duration(rapid.IntRange(1, 100).Draw(t, "gap")) * time.Millisecond
+			for range rapid.IntRange(1, 200).Draw(t, "events") {
+				now = now.Add(gap)
+				b.RecordRequest(now)
+				requests = append(requests, now)
+				for failing && b.TryRetry(now, n, 0).Allowed {
 					retries = append(retries, now)
 				}
-				continue
 			}
-			b.RecordRequest(now)
-			requests = append(requests, now)
 		}
-		for _, end := range retries {
-			retried, requested := countInWindow(retries, end, window), countInWindow(requests, end, window)
-			if float64(retried) > ratio*float64(requested)+extra+1e-9 {
-				t.Fatalf("%d retries for %d requests in the window that ends at %v exceed the budget", retried, requested, end.Sub(epoch))
+		for _, at := range retries {
+			for _, end := range []time.Time{at, at.Add(window - 1)} {
+				retried, requested := countInWindow(retries, end, window), countInWindow(requests, end, window)
+				if float64(retried) > ratio*float64(requested)+extra+1e-9 {
+					t.Fatalf("%d retries for %d requests in the window that ends at %v exceed the budget", retried, requested, end.Sub(epoch))
+				}
 			}
 		}
 	})
@@ -70,6 +74,21 @@
 	}
 }
 
+// TestSmallShareAllowsRetries guards against a share of the extra retries below two,
+// as each gateway of a large fleet has, that allows no retry at all.
+func TestSmallShareAllowsRetries(t *testing.T) {
+	b := NewWindowBudget(0.2, 58, 10*time.Second)
+	for second := range 20 {
+		now := epoch.Add(time.Duration(second) * time.Second)
+		for range 5 {
+			b.RecordRequest(now)
+		}
+		if d := b.TryRetry(now.Add(500*time.Millisecond), 340, 1); !d.Allowed {
+			t.Errorf("no retry in second %d with five requests a second, want one: %+v", second, d)
+		}
+	}
+}
+
 // TestRetryStormAtOneGatewayUsesItsShareOnly guards against a gateway that
 // spends the extra retries of all gateways when only its own requests fail.
 func TestRetryStormAtOneGatewayUsesItsShareOnly(t *testing.T) {
