Assume after a start that the process before used its extra retries

Cause: the budget is in memory only, as nothing of the system writes to a disk or a store. A process that starts had its whole share of the extra retries, while those of the process before were still in the window at the servers.

Why it works: a window that reaches back beyond the start of the process includes none of the extra retries; what the new process's own requests pay for is allowed at once, as no other process counts them. Each window at the servers then has at most one use of a gateway's share.

The cost: in the first window after its start a gateway retries one in five of its requests at most.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -184,7 +184,7 @@
 	d := s.retryBudget(req.service.Name).TryRetry(s.deps.Clock.Now(), gateways, reserve)
 	req.log.WithFields(logrus.Fields{
 		"event": "retry_decided", "service": req.service.Name, "allowed": d.Allowed, "sends": req.attempts, "gateways": gateways,
-		"window_requests": d.Requests, "window_retries": d.Retries, "share": d.Share, "remaining": d.Remaining, "reserve": reserve,
+		"window_requests": d.Requests, "window_retries": d.Retries, "share": d.Share, "first_window": d.FirstWindow, "remaining": d.Remaining, "reserve": reserve,
 	}).Info("retry decided by the budget")
 	return d.Allowed
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -73,6 +73,8 @@
 	// mu protects rng, retryBudgets and candidateLists.
 	mu  sync.Mutex
 	rng *rand.Rand
+	// startedAt is when the server was created.
+	startedAt time.Time
 	// retryBudgets holds the retry budget of each service.
 	retryBudgets map[string]*retry.WindowBudget
 	// candidateLists holds the last list of candidates of each service.
@@ -82,7 +84,7 @@
 // NewServer returns a server.
 func NewServer(deps Dependencies) *Server {
 	return &Server{
-		deps: deps, metrics: newGatewayMetrics(deps.Metrics),
+		deps: deps, metrics: newGatewayMetrics(deps.Metrics), startedAt: deps.Clock.Now(),
 		rng:          rand.New(rand.NewPCG(deps.Seed, 3)), //nolint:gosec // not for secrets
 		retryBudgets: make(map[string]*retry.WindowBudget), candidateLists: make(map[string]candidateList),
 	}
@@ -95,7 +97,7 @@
 	b := s.retryBudgets[service]
 	if b == nil {
 		bounds := s.deps.Settings().Bounds
-		b = retry.NewWindowBudget(bounds.RetryRatio, bounds.RetryExtra, bounds.RetryWindow)
+		b = retry.NewWindowBudget(bounds.RetryRatio, bounds.RetryExtra, bounds.RetryWindow, s.startedAt)
 		s.retryBudgets[service] = b
 	}
 	return b
--- a/retry/window.go
+++ b/retry/window.go
@@ -17,7 +17,8 @@
 // each period up to the window, each gateway makes at most ratio x its own requests
 // of this period + extra / n retries, but at least one. So all gateways together make
 // at most ratio x requests + extra retries in each window, also while callers move
-// from one gateway to another, as long as extra is not below n.
+// from one gateway to another, as long as extra is not below n. A process that starts
+// assumes that its predecessor has just used its share.
 type WindowBudget struct {
 	mu     sync.Mutex
 	ratio  float64
@@ -30,13 +31,21 @@
 	retries  [windowBuckets + 1]int
 	// newest is the number of the newest bucket, counted from the Unix epoch.
 	newest int64
+	// startedAt is when this process started to count.
+	startedAt time.Time
 }
 
 // NewWindowBudget returns a budget that allows, in each window, ratio retries
 // per request plus this gateway's share of extra, which is the number of
-// additional retries of all gateways.
-func NewWindowBudget(ratio float64, extra int, window time.Duration) *WindowBudget {
-	return &WindowBudget{ratio: ratio, extra: float64(extra), window: window}
+// additional retries of all gateways. startedAt is when the process started: a
+// window that reaches back further includes none of the extra retries.
+func NewWindowBudget(ratio float64, extra int, window time.Duration, startedAt time.Time) *WindowBudget {
+	return &WindowBudget{ratio: ratio, extra: float64(extra), window: window, startedAt: startedAt}
+}
+
+// bucketOf returns the number of the bucket that contains a time.
+func (b *WindowBudget) bucketOf(at time.Time) int64 {
+	return at.UnixNano() / (int64(b.window) / windowBuckets)
 }
 
 // RecordRequest counts a request. Its retries are not counted.
@@ -55,6 +64,8 @@
 	Requests, Retries int
 	// Share is this gateway's share of the extra retries.
 	Share float64
+	// FirstWindow reports whether the process started within the window.
+	FirstWindow bool
 	// Remaining is how many retries this gateway could still make before the decision.
 	Remaining float64
 }
@@ -72,6 +83,9 @@
 		d.Remaining = min(d.Remaining, b.ratio*float64(d.Requests)+d.Share-float64(d.Retries))
 		d.Requests += b.requests[i]
 	}
+	if d.FirstWindow = b.newest-b.bucketOf(b.startedAt) <= windowBuckets; d.FirstWindow {
+		d.Remaining = min(d.Remaining, b.ratio*float64(d.Requests)-float64(d.Retries))
+	}
 	return d
 }
 
@@ -94,7 +108,7 @@
 // advance shifts the counts so that the newest bucket is the one that contains
 // now. A time before the newest bucket changes nothing.
 func (b *WindowBudget) advance(now time.Time) {
-	newest := now.UnixNano() / (int64(b.window) / windowBuckets)
+	newest := b.bucketOf(now)
 	steps := min(newest-b.newest, windowBuckets+1)
 	if b.newest == 0 {
 		steps = windowBuckets + 1
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -7,9 +7,12 @@
 	"pgregory.net/rapid"
 )
 
+// longAgo is a start of the process that no window reaches.
+var longAgo = epoch.Add(-time.Minute)
+
 // TestGatewaysTogetherKeepWindowBudget checks that in any window, whenever it begins,
 // all gateways together make at most ratio x requests + extra retries, for any
-// distribution of the requests among them.
+// distribution of the requests among them, while gateways restart.
 func TestGatewaysTogetherKeepWindowBudget(t *testing.T) {
 	const (
 		ratio  = 0.2
@@ -20,13 +23,17 @@
 		n := rapid.IntRange(1, 6).Draw(t, "gateways")
 		budgets := make([]*WindowBudget, n)
 		for i := range budgets {
-			budgets[i] = NewWindowBudget(ratio, extra, window)
+			budgets[i] = NewWindowBudget(ratio, extra, window, longAgo)
 		}
 		var requests, retries []time.Time
 		now := epoch
 		// Phases in which nothing fails, and in which everything does.
 		for range rapid.IntRange(1, 8).Draw(t, "phases") {
-			b := budgets[rapid.IntRange(0, n-1).Draw(t, "gateway")]
+			i := rapid.IntRange(0, n-1).Draw(t, "gateway")
+			if rapid.IntRange(0, 3).Draw(t, "restart") == 0 {
+				budgets[i] = NewWindowBudget(ratio, extra, window, now)
+			}
+			b := budgets[i]
 			failing := rapid.Bool().Draw(t, "failing")
 			gap := time.Duration(rapid.IntRange(1, 100).Draw(t, "gap")) * time.Millisecond
 			for range rapid.IntRange(1, 200).Draw(t, "events") {
@@ -60,7 +67,7 @@
 }
 
 func TestWindowBudgetKeepsReserve(t *testing.T) {
-	b := NewWindowBudget(0, 3, 10*time.Second)
+	b := NewWindowBudget(0, 3, 10*time.Second, longAgo)
 	for i, step := range []struct {
 		reserve float64
 		want    bool
@@ -77,7 +84,7 @@
 // TestSmallShareAllowsRetries guards against a share of the extra retries below two,
 // as each gateway of a large fleet has, that allows no retry at all.
 func TestSmallShareAllowsRetries(t *testing.T) {
-	b := NewWindowBudget(0.2, 58, 10*time.Second)
+	b := NewWindowBudget(0.2, 58, 10*time.Second, longAgo)
 	for second := range 20 {
 		now := epoch.Add(time.Duration(second) * time.Second)
 		for range 5 {
@@ -92,7 +99,7 @@
 // TestRetryStormAtOneGatewayUsesItsShareOnly guards against a gateway that
 // spends the extra retries of all gateways when only its own requests fail.
 func TestRetryStormAtOneGatewayUsesItsShareOnly(t *testing.T) {
-	b := NewWindowBudget(0.2, 58, 10*time.Second)
+	b := NewWindowBudget(0.2, 58, 10*time.Second, longAgo)
 	retries := 0
 	for range 1000 {
 		if b.TryRetry(epoch, 5, 0).Allowed {
