Divide shared limits by all gateways that may be running, not by those seen

Cause: each gateway took the extra retries divided by the number of peers whose datagrams arrived within 4 s. One that was partitioned, or started without reaching its peers, took more, while the others still took theirs; survivors took over the share of a stopped gateway while its retries still counted.

Why it works: a gateway is counted for 10 minutes after its last message, so a partition does not change the shares. Hellos tell how many gateways their sender has reached, and the largest number counts, so that one that meets any other knows them all; the number is what the sender has heard itself, so that it does not circulate. Seeds count although they were never reached. A gateway that has never reached another one, though its settings name some, takes one retry. The number is an entry of the list of known peers, before the data centre, as earlier versions keep the last such entry; a new field would have made them refuse the message.

The same cause elsewhere: the connection limit of a backend server was divided by the same number and is now by the new one. Load hints and their interval still use the live gateways: they are estimates, not limits.

The cost: a stopped gateway's share is unused for 10 minutes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -180,7 +180,10 @@
 // takeRetry takes a retry from the budget of the request's service, and logs the
 // decision with its inputs.
 func (s *Server) takeRetry(req *request, reserve float64) bool {
-	gateways := s.deps.Gateways.LiveCount()
+	gateways, known := s.deps.Gateways.Sharing()
+	if !known {
+		gateways = 0
+	}
 	d := s.retryBudget(req.service.Name).TryRetry(s.deps.Clock.Now(), gateways, reserve)
 	req.log.WithFields(logrus.Fields{
 		"event": "retry_decided", "service": req.service.Name, "allowed": d.Allowed, "sends": req.attempts, "gateways": gateways,
@@ -360,7 +363,8 @@
 	if req.service.MaxConnections == 0 {
 		return 0
 	}
-	share := maxConnectionUse * float64(req.service.MaxConnections) / float64(max(1, s.deps.Gateways.LiveCount()))
+	gateways, _ := s.deps.Gateways.Sharing()
+	share := maxConnectionUse * float64(req.service.MaxConnections) / float64(gateways)
 	return max(minConnections, int(min(maxConnectionSkew*share, maxConnectionUse*float64(req.service.MaxConnections))))
 }
 
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -127,7 +127,11 @@
 	monotonic := clock.New()
 	d.peers = NewPeers(settings, scheduler, monotonic, d.log)
 	liveGateways := d.metrics.Gauge("sesame_gateway_live_gateways")
-	d.peers.OnLiveCount = func(live int) { liveGateways.Update(int64(live)) }
+	sharingGateways := d.metrics.Gauge("sesame_gateway_sharing_gateways")
+	d.peers.OnCount = func(live, sharing int) {
+		liveGateways.Update(int64(live))
+		sharingGateways.Update(int64(sharing))
+	}
 	d.server = NewServer(Dependencies{
 		Codec: p.Codec, View: d.view, Directory: d.directory, Scheduler: scheduler, Pool: d.pool, Gateways: d.peers,
 		Clock: monotonic, Metrics: d.metrics, Log: d.log, Settings: d.settings.Load, Seed: o.Seed,
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -72,12 +73,20 @@
 	assumedGateways = 8
 	// Entries of peerMessage.Known that begin with dataCentreMark are no addresses:
 	// one names the data centre of the sender, relayMark asks the receiver to relay
-	// the message. Gateways of earlier versions ignore them.
+	// the message, and the number after countMark is that of the gateways that share
+	// limits.
 	dataCentreMark = "@"
 	relayMark      = dataCentreMark + "relay"
+	countMark      = dataCentreMark + "gateways="
 	// discoveryTime is how long after its start a gateway may not yet have seen
 	// all its peers.
 	discoveryTime = 2 * time.Second
+	// shareHold is how long a silent gateway still counts as using its share of the
+	// limits that all gateways share. It may be partitioned rather than stopped;
+	// partitions last minutes.
+	shareHold = 10 * time.Minute
+	// maxSharing limits the remembered gateways, and the number that a peer reports.
+	maxSharing = 4 * maxPeers
 )
 
 // peerMessage is a message between gateways, sent as one datagram: a hello message
@@ -92,6 +101,27 @@
 	Hints []routing.Hint
 }
 
+// countEntry returns the entry of Known that tells how many gateways share limits.
+// It stands before the data centre: gateways of earlier versions take it for one, and
+// keep the last.
+func countEntry(gateways int) string { return countMark + strconv.Itoa(gateways) }
+
+// gatewayCount returns how many gateways the sender knows that share limits with it,
+// itself included, without what others told it; zero if the message does not say so,
+// or no positive number. It is at most maxSharing.
+func (m *peerMessage) gatewayCount() int {
+	for _, entry := range m.Known {
+		if text, isCount := strings.CutPrefix(entry, countMark); isCount {
+			count, err := strconv.ParseUint(text, 10, 63)
+			if err != nil {
+				return 0
+			}
+			return int(min(count, maxSharing)) //nolint:gosec // bounded
+		}
+	}
+	return 0
+}
+
 // LoadHints provides and accepts load hints: what a gateway has in flight at
 // backend servers.
 type LoadHints interface {
@@ -132,6 +162,13 @@
 	return now.Sub(r.lastMessage) > lostAfter
 }
 
+// sharingRecord is what is remembered of a gateway that shares limits.
+type sharingRecord struct {
+	lastMessage time.Time
+	// reported is the number of gateways in its last hello; zero if it sent none.
+	reported int
+}
+
 // Peers discovers the other gateways by datagrams and exchanges load hints with
 // them. It is safe for concurrent use.
 //
@@ -139,6 +176,9 @@
 // the peer starts to send hellos over a working path, and for no longer than
 // peerTimeout after its last message. During discoveryTime, LiveCount is at least
 // assumedGateways.
+//
+// The live gateways are for estimates of load. Limits that must hold for all gateways
+// together are divided by Sharing, which does not decrease when peers fall silent.
 type Peers struct {
 	address    string
 	dataCentre string
@@ -157,18 +197,20 @@
 	startedAt time.Time
 	// lastNewPeerAt is when the first message of a new peer last arrived.
 	lastNewPeerAt time.Time
-	// reportedLive is the last reported number of live gateways.
-	reportedLive int
-	// OnLiveCount, if set before Run, is called with the number of live gateways
-	// when it has changed.
-	OnLiveCount func(live int)
+	// sharing holds the gateways that have sent a message within shareHold.
+	sharing map[string]sharingRecord
+	// reportedLive and reportedSharing are the numbers that were last logged.
+	reportedLive, reportedSharing int
+	// OnCount, if set before Run, is called with the numbers of live gateways and of
+	// those that share limits when one has changed.
+	OnCount func(live, sharing int)
 }
 
 // NewPeers returns the peers of a gateway that knows only its seeds.
 func NewPeers(settings *deployment.Settings, hints LoadHints, c clock.Clock, log *logrus.Entry) *Peers {
 	return &Peers{
 		address: settings.PeerAddress, dataCentre: settings.DataCentre, seeds: settings.Seeds, log: log, clock: c, hints: hints,
-		known: make(map[string]peerRecord), startedAt: c.Now(), lastNewPeerAt: c.Now(),
+		known: make(map[string]peerRecord), sharing: make(map[string]sharingRecord), startedAt: c.Now(), lastNewPeerAt: c.Now(),
 	}
 }
 
@@ -179,7 +221,7 @@
 	p.seeds = seeds
 }
 
-// LiveCount implements LiveCounter.
+// LiveCount returns the number of live gateways, including this one.
 func (p *Peers) LiveCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -191,6 +233,56 @@
 	return live
 }
 
+// Sharing implements GatewayCounter.
+func (p *Peers) Sharing() (gateways int, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	gateways, known = p.ownCount(), len(p.sharing) > 0 || !slices.ContainsFunc(p.seeds, func(seed string) bool { return seed != p.address })
+	for _, r := range p.sharing {
+		gateways = max(gateways, r.reported)
+	}
+	if !known || p.clock.Now().Sub(p.startedAt) < discoveryTime {
+		gateways = max(gateways, assumedGateways)
+	}
+	return gateways, known
+}
+
+// ownCount returns how many gateways this one knows that share limits with it, itself
+// included: those that have sent a message within shareHold, and the seeds, which may
+// be gateways that it has never reached. The caller holds mu.
+func (p *Peers) ownCount() int {
+	count := 1 + len(p.sharing)
+	for _, seed := range p.seeds {
+		if _, heard := p.sharing[seed]; !heard && seed != p.address {
+			count++
+		}
+	}
+	return count
+}
+
+// recordSharing remembers the sender of a message. The caller holds mu.
+func (p *Peers) recordSharing(now time.Time, message peerMessage) {
+	r, known := p.sharing[message.From]
+	if !known && len(p.sharing) >= maxSharing {
+		return
+	}
+	r.lastMessage = now
+	if count := message.gatewayCount(); count > 0 {
+		r.reported = count
+	}
+	p.sharing[message.From] = r
+}
+
+// forgetSharing forgets the gateways that were silent for shareHold. The caller holds
+// mu.
+func (p *Peers) forgetSharing(now time.Time) {
+	for address, r := range p.sharing {
+		if now.Sub(r.lastMessage) >= shareHold {
+			delete(p.sharing, address)
+		}
+	}
+}
+
 // liveCountAt returns the number of live gateways, including this one.
 func (p *Peers) liveCountAt(now time.Time) int {
 	live := 1
@@ -344,25 +436,28 @@
 
 // sendHellos sends one round of hellos.
 func (p *Peers) sendHellos(conn *net.UDPConn) {
-	p.reportLiveCount()
+	p.reportCounts()
 	targets, message := p.nextRound()
 	p.send(conn, targets, message)
 }
 
-// reportLiveCount logs the number of live gateways if it has changed, as limits that
-// all gateways share are divided by it.
-func (p *Peers) reportLiveCount() {
+// reportCounts logs the numbers of live gateways and of those that share limits if
+// one of them has changed.
+func (p *Peers) reportCounts() {
 	live := p.LiveCount()
+	sharing, known := p.Sharing()
 	p.mu.Lock()
-	previous := p.reportedLive
-	p.reportedLive = live
+	previousLive, previousSharing := p.reportedLive, p.reportedSharing
+	p.reportedLive, p.reportedSharing = live, sharing
 	p.mu.Unlock()
-	if live == previous {
+	if live == previousLive && sharing == previousSharing {
 		return
 	}
-	p.log.WithFields(logrus.Fields{"event": "gateways_counted", "gateways": live, "previous": previous}).Info("number of live gateways changed")
-	if p.OnLiveCount != nil {
-		p.OnLiveCount(live)
+	p.log.WithFields(logrus.Fields{
+		"event": "gateways_counted", "gateways": live, "previous": previousLive, "sharing": sharing, "previous_sharing": previousSharing, "known": known,
+	}).Info("number of gateways changed")
+	if p.OnCount != nil {
+		p.OnCount(live, sharing)
 	}
 }
 
@@ -390,6 +485,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
+	p.forgetSharing(now)
 	var known, seen []string
 	for address, r := range p.known {
 		if r.lost(now) {
@@ -424,7 +520,7 @@
 		listed = append(listed, seen[(p.nextListed+i)%len(seen)])
 	}
 	p.nextListed += len(listed)
-	return targets, peerMessage{From: p.address, Known: append(listed, dataCentreMark+p.dataCentre)}
+	return targets, peerMessage{From: p.address, Known: append(listed, countEntry(p.ownCount()), dataCentreMark+p.dataCentre)}
 }
 
 // receive handles messages until the connection is closed.
@@ -467,11 +563,12 @@
 	}
 	sender.lastMessage = now
 	for _, entry := range message.Known {
-		if name, isMark := strings.CutPrefix(entry, dataCentreMark); isMark && entry != relayMark {
+		if name, isMark := strings.CutPrefix(entry, dataCentreMark); isMark && entry != relayMark && !strings.HasPrefix(entry, countMark) {
 			sender.dataCentre = name
 		}
 	}
 	p.known[message.From] = sender
+	p.recordSharing(now, message)
 	if len(message.Hints) > 0 {
 		ttl := max(minHintTTL, hintTTLIntervals*hintIntervalFor(p.liveCountAt(now)))
 		p.hints.ApplyHints(now, now.Add(ttl), message.From, message.Hints)
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -299,3 +299,67 @@
 		t.Errorf("a message without load hints is relayed to %v", targets)
 	}
 }
+
+// TestSharingKeepsSilentPeers checks which gateways count as sharing limits: also
+// silent ones, those that only a peer has reached, and seeds that were never reached.
+func TestSharingKeepsSilentPeers(t *testing.T) {
+	c := clock.NewManual(epoch)
+	p := newTestPeers(c)
+	expect := func(when string, gateways int, known bool) {
+		t.Helper()
+		if got, gotKnown := p.Sharing(); got != gateways || gotKnown != known {
+			t.Errorf("%s: got %d gateways, known %v; want %d, %v", when, got, gotKnown, gateways, known)
+		}
+	}
+	c.Advance(discoveryTime)
+	expect("no peer reached", assumedGateways, false)
+	p.handleMessage(peerMessage{From: "10.0.0.2:80"})
+	expect("one of two seeds reached", 3, true)
+	p.handleMessage(peerMessage{From: "10.0.0.4:80", Known: []string{countEntry(5)}})
+	expect("a peer that knows five gateways", 5, true)
+	for _, entry := range []string{countEntry(-5), countEntry(0), countMark, countMark + "five", countMark + "99999999999999999999"} {
+		p.handleMessage(peerMessage{From: "10.0.0.4:80", Known: []string{entry}})
+	}
+	p.handleMessage(peerMessage{From: "10.0.0.4:80", Hints: []routing.Hint{{Server: "i-1"}}})
+	expect("reports that are no positive number, and load hints without a report", 5, true)
+	c.Advance(shareHold - time.Second)
+	p.nextRound()
+	expect("silent peers that are lost otherwise", 5, true)
+	p.handleMessage(peerMessage{From: "10.0.0.2:80", Known: []string{countEntry(3)}})
+	c.Advance(time.Second)
+	p.nextRound()
+	expect("a peer that was silent for shareHold", 3, true)
+	p.handleMessage(peerMessage{From: "10.0.0.2:80", Known: []string{countEntry(1 << 40)}})
+	expect("a report that is too large", maxSharing, true)
+	single := NewPeers(&deployment.Settings{PeerAddress: "10.0.0.1:80", Seeds: []string{"10.0.0.1:80"}}, routing.NewScheduler("a"), c, discardLog())
+	c.Advance(discoveryTime)
+	if got, known := single.Sharing(); got != 1 || !known {
+		t.Errorf("a gateway whose only seed is itself: got %d gateways, known %v; want 1, true", got, known)
+	}
+}
+
+// TestSharingIsBounded checks that forged senders do not use up memory.
+func TestSharingIsBounded(t *testing.T) {
+	p := newTestPeers(clock.NewManual(epoch))
+	for i := range maxSharing + 10 {
+		p.handleMessage(peerMessage{From: fmt.Sprintf("10.%d.%d.%d:80", i>>16, i>>8&255, i&255)})
+	}
+	if len(p.sharing) != maxSharing {
+		t.Errorf("%d senders are remembered, want maxSharing", len(p.sharing))
+	}
+}
+
+// TestCountDoesNotReplaceDataCentre checks that gateways of earlier versions, which
+// keep the last mark of a hello as the data centre, still find the data centre.
+func TestCountDoesNotReplaceDataCentre(t *testing.T) {
+	p := newTestPeers(clock.NewManual(epoch))
+	p.dataCentre = "a"
+	_, message := p.nextRound()
+	if last := message.Known[len(message.Known)-1]; last != dataCentreMark+"a" {
+		t.Errorf("the last entry of a hello is %q, want the data centre", last)
+	}
+	p.handleMessage(peerMessage{From: "10.0.0.2:80", Known: []string{dataCentreMark + "b", countEntry(4)}})
+	if got := p.known["10.0.0.2:80"].dataCentre; got != "b" {
+		t.Errorf("data centre %q of a peer that also reports a count, want b", got)
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -42,11 +42,14 @@
 	minRetryAfter = 100 * time.Millisecond
 )
 
-// LiveCounter returns the number of gateways that share the limits of the
+// GatewayCounter returns the number of gateways that share the limits of the
 // deployment.
-type LiveCounter interface {
-	// LiveCount returns the number of live gateways, including this one.
-	LiveCount() int
+type GatewayCounter interface {
+	// Sharing returns the number of gateways, including this one, that may be using
+	// their share of a limit, whether or not this gateway can reach them now. known is
+	// false if this gateway has never reached another one although there should be
+	// some; the number is then an assumption.
+	Sharing() (gateways int, known bool)
 }
 
 // Dependencies are the components that a Server uses.
@@ -56,7 +59,7 @@
 	Directory *directory.Directory
 	Scheduler *routing.Scheduler
 	Pool      *upstream.Pool
-	Gateways  LiveCounter
+	Gateways  GatewayCounter
 	Clock     clock.Clock
 	Metrics   *telemetry.Metrics
 	Log       *logrus.Entry
--- a/retry/window.go
+++ b/retry/window.go
@@ -76,7 +76,10 @@
 // a bucket has at most the retries of this bucket and those after it, and at least the
 // requests of the buckets after it.
 func (b *WindowBudget) decision(gateways int) WindowDecision {
-	d := WindowDecision{Share: max(1, b.extra/float64(max(1, gateways)))}
+	d := WindowDecision{Share: 1}
+	if gateways > 0 {
+		d.Share = max(d.Share, b.extra/float64(gateways))
+	}
 	d.Remaining = d.Share
 	for i := range b.requests {
 		d.Retries += b.retries[i]
@@ -90,7 +93,8 @@
 }
 
 // TryRetry takes one retry from the budget if the decision allows it. gateways is
-// the number of gateways. reserve is how many retries must remain in the budget for
+// the number of gateways, zero if it is not known: then this one takes the smallest
+// share. reserve is how many retries must remain in the budget for
 // more important requests; it is less if the share of this gateway is smaller than
 // reserve and one retry.
 func (b *WindowBudget) TryRetry(now time.Time, gateways int, reserve float64) WindowDecision {
