Count a retry when it is sent, not when it is decided

Backend servers could get the retries of two windows in one.

Cause: a retry was taken from the budget when it was decided. Then it may be held for capacity or wait for a connection, up to seconds, and arrive together with the retries of the next window. A retry that was never sent stayed counted.

Why it works: an allowed retry is reserved until it is sent, and a reserved one counts in each period, as it may be sent at any time. It is counted when the request is written. The window is longer by the time after which a connection whose bytes are not acknowledged is closed, since a written request arrives within it. What is not sent is given back. The property test holds retries and restarts gateways at random.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -71,6 +71,7 @@
 // serve makes attempts, one at a time, until the final response is sent or the
 // caller disconnects.
 func (s *Server) serve(ctx context.Context, req *request) {
+	defer req.releaseRetry()
 	s.retryBudget(req.service.Name).RecordRequest(s.deps.Clock.Now())
 	fwd := newResponseForwarder(s, req)
 	for {
@@ -151,7 +152,7 @@
 
 // refuseRetry returns why the request must not be retried after an attempt with the
 // given result, or an empty string if it may be retried. A permitted retry is
-// taken from the budget, unless the attempt did not reach a backend server.
+// reserved, unless the attempt did not reach a backend server.
 func (s *Server) refuseRetry(req *request, fwd *responseForwarder, last attemptResult) string {
 	if last == resultNotSent || last == resultConnectionLimit {
 		if len(req.excluded) > maxAttempts {
@@ -177,21 +178,43 @@
 	return ""
 }
 
-// takeRetry takes a retry from the budget of the request's service, and logs the
-// decision with its inputs.
+// takeRetry reserves a retry of the budget of the request's service, and logs the
+// decision with its inputs. The next attempt that reaches a backend server uses it.
 func (s *Server) takeRetry(req *request, reserve float64) bool {
 	gateways, known := s.deps.Gateways.Sharing()
 	if !known {
 		gateways = 0
 	}
-	d := s.retryBudget(req.service.Name).TryRetry(s.deps.Clock.Now(), gateways, reserve)
+	budget := s.retryBudget(req.service.Name)
+	d := budget.TryRetry(s.deps.Clock.Now(), gateways, reserve)
+	if d.Allowed {
+		req.reservedRetry = budget
+	}
 	req.log.WithFields(logrus.Fields{
 		"event": "retry_decided", "service": req.service.Name, "allowed": d.Allowed, "sends": req.attempts, "gateways": gateways,
-		"window_requests": d.Requests, "window_retries": d.Retries, "share": d.Share, "first_window": d.FirstWindow, "remaining": d.Remaining, "reserve": reserve,
+		"window_requests": d.Requests, "window_retries": d.Retries, "reserved": d.Reserved, "share": d.Share, "first_window": d.FirstWindow, "remaining": d.Remaining, "reserve": reserve,
 	}).Info("retry decided by the budget")
 	return d.Allowed
 }
 
+// useRetry counts the reserved retry of a request, if any, as sent now: the budget
+// bounds what arrives at backend servers, and a retry may be held for capacity or wait
+// for a connection.
+func (s *Server) useRetry(req *request) {
+	if req.reservedRetry != nil {
+		req.reservedRetry.Sent(s.deps.Clock.Now())
+		req.reservedRetry = nil
+	}
+}
+
+// releaseRetry gives back a reserved retry that no attempt has used.
+func (req *request) releaseRetry() {
+	if req.reservedRetry != nil {
+		req.reservedRetry.Release()
+		req.reservedRetry = nil
+	}
+}
+
 // retryReserve returns the number of retries that must remain in the budget after
 // a retry of the request. They are reserved for interrupted streams, which
 // callers cannot request again; other requests can still be refused.
@@ -326,6 +349,7 @@
 		Head: s.deps.Codec.EncodeHead(req.in, req.RequestInfo, active.server.Address, active.info), Body: req.in.Body,
 		MaxConnections: s.connectionLimit(req),
 		MatchesRequest: func(h http.Header) bool { return s.deps.Codec.Matches(requestInfo, h) },
+		OnSend:         func() { s.useRetry(req) },
 	})
 	if err != nil {
 		if !upstream.NotSent(err) {
--- a/gateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -125,16 +125,19 @@
 // healthy.
 func (sim *budgetSimulation) request(g *simGateway) {
 	sim.requests = append(sim.requests, sim.clock.Now())
-	req := &request{service: &routes.Service{Name: "app"}, log: discardLog()}
 	g.server.retryBudget("app").RecordRequest(sim.clock.Now())
 	for range simRetries {
 		if sim.healthy {
 			return
 		}
+		req := &request{service: &routes.Service{Name: "app"}, log: discardLog()}
 		if !g.server.takeRetry(req, 0) {
 			return
 		}
-		sim.held = append(sim.held, heldRetry{sim.clock.Now().Add(sim.hold), func() { sim.retries = append(sim.retries, sim.clock.Now()) }})
+		sim.held = append(sim.held, heldRetry{sim.clock.Now().Add(sim.hold), func() {
+			g.server.useRetry(req)
+			sim.retries = append(sim.retries, sim.clock.Now())
+		}})
 	}
 	sim.sendHeld()
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -93,14 +93,15 @@
 	}
 }
 
-// retryBudget returns the retry budget of a service.
+// retryBudget returns the retry budget of a service. Its window is longer than the
+// stated one by the time that a request may be under way to a backend server.
 func (s *Server) retryBudget(service string) *retry.WindowBudget {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.retryBudgets[service]
 	if b == nil {
 		bounds := s.deps.Settings().Bounds
-		b = retry.NewWindowBudget(bounds.RetryRatio, bounds.RetryExtra, bounds.RetryWindow, s.startedAt)
+		b = retry.NewWindowBudget(bounds.RetryRatio, bounds.RetryExtra, bounds.RetryWindow+upstream.DefaultUserTimeout, s.startedAt)
 		s.retryBudgets[service] = b
 	}
 	return b
@@ -121,6 +122,9 @@
 	deadline time.Time
 	// excluded holds the IDs of the backend servers that were already tried.
 	excluded map[string]bool
+	// reservedRetry is the budget that allowed a retry which is not sent yet; nil if
+	// there is none.
+	reservedRetry *retry.WindowBudget
 	// attempts counts the attempts that reached a backend server, runs those of
 	// them that the backend server may have run.
 	attempts, runs int
--- a/retry/window.go
+++ b/retry/window.go
@@ -29,6 +29,8 @@
 	// windowBuckets.
 	requests [windowBuckets + 1]int
 	retries  [windowBuckets + 1]int
+	// reserved is the number of retries that were allowed and are not sent yet.
+	reserved int
 	// newest is the number of the newest bucket, counted from the Unix epoch.
 	newest int64
 	// startedAt is when this process started to count.
@@ -59,9 +61,9 @@
 // WindowDecision is a decision of a WindowBudget, with what it was based on.
 type WindowDecision struct {
 	Allowed bool
-	// Requests and Retries are what this gateway counted in the window, without the
-	// retry that is decided.
-	Requests, Retries int
+	// Requests and Retries are what this gateway counted in the window, Reserved the
+	// retries that are not sent yet, without the retry that is decided.
+	Requests, Retries, Reserved int
 	// Share is this gateway's share of the extra retries.
 	Share float64
 	// FirstWindow reports whether the process started within the window.
@@ -74,29 +76,30 @@
 // each period that ends now: a window at the backend servers may begin at any time,
 // and the requests before it then pay for no retry in it. A period that begins within
 // a bucket has at most the retries of this bucket and those after it, and at least the
-// requests of the buckets after it.
+// requests of the buckets after it. A reserved retry may be sent at any time, so it
+// counts in each period.
 func (b *WindowBudget) decision(gateways int) WindowDecision {
-	d := WindowDecision{Share: 1}
+	d := WindowDecision{Share: 1, Reserved: b.reserved}
 	if gateways > 0 {
 		d.Share = max(d.Share, b.extra/float64(gateways))
 	}
 	d.Remaining = d.Share
 	for i := range b.requests {
 		d.Retries += b.retries[i]
-		d.Remaining = min(d.Remaining, b.ratio*float64(d.Requests)+d.Share-float64(d.Retries))
+		d.Remaining = min(d.Remaining, b.ratio*float64(d.Requests)+d.Share-float64(d.Retries+d.Reserved))
 		d.Requests += b.requests[i]
 	}
 	if d.FirstWindow = b.newest-b.bucketOf(b.startedAt) <= windowBuckets; d.FirstWindow {
-		d.Remaining = min(d.Remaining, b.ratio*float64(d.Requests)-float64(d.Retries))
+		d.Remaining = min(d.Remaining, b.ratio*float64(d.Requests)-float64(d.Retries+d.Reserved))
 	}
 	return d
 }
 
-// TryRetry takes one retry from the budget if the decision allows it. gateways is
-// the number of gateways, zero if it is not known: then this one takes the smallest
-// share. reserve is how many retries must remain in the budget for
-// more important requests; it is less if the share of this gateway is smaller than
-// reserve and one retry.
+// TryRetry reserves one retry if the decision allows it. The caller must then call
+// Sent or Release. gateways is the number of gateways, zero if it is not known: then
+// this one takes the smallest share. reserve is how many retries must remain in the
+// budget for more important requests; it is less if the share of this gateway is
+// smaller than reserve and one retry.
 func (b *WindowBudget) TryRetry(now time.Time, gateways int, reserve float64) WindowDecision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -104,11 +107,27 @@
 	d := b.decision(gateways)
 	d.Allowed = d.Remaining >= 1+min(reserve, d.Share-1)
 	if d.Allowed {
-		b.retries[0]++
+		b.reserved++
 	}
 	return d
 }
 
+// Sent counts a reserved retry as sent now.
+func (b *WindowBudget) Sent(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.reserved--
+	b.retries[0]++
+}
+
+// Release gives back a reserved retry that is not going to be sent.
+func (b *WindowBudget) Release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved--
+}
+
 // advance shifts the counts so that the newest bucket is the one that contains
 // now. A time before the newest bucket changes nothing.
 func (b *WindowBudget) advance(now time.Time) {
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -12,7 +13,8 @@
 
 // TestGatewaysTogetherKeepWindowBudget checks that in any window, whenever it begins,
 // all gateways together make at most ratio x requests + extra retries, for any
-// distribution of the requests among them, while gateways restart.
+// distribution of the requests among them, while gateways restart and
+// hold retries.
 func TestGatewaysTogetherKeepWindowBudget(t *testing.T) {
 	const (
 		ratio  = 0.2
@@ -27,10 +29,13 @@
 		}
 		var requests, retries []time.Time
 		now := epoch
+		var reserved []*WindowBudget // the budgets of the retries that are not sent yet
 		// Phases in which nothing fails, and in which everything does.
 		for range rapid.IntRange(1, 8).Draw(t, "phases") {
 			i := rapid.IntRange(0, n-1).Draw(t, "gateway")
 			if rapid.IntRange(0, 3).Draw(t, "restart") == 0 {
+				stopped := budgets[i]
+				reserved = slices.DeleteFunc(reserved, func(b *WindowBudget) bool { return b == stopped })
 				budgets[i] = NewWindowBudget(ratio, extra, window, now)
 			}
 			b := budgets[i]
@@ -41,7 +46,14 @@
 				b.RecordRequest(now)
 				requests = append(requests, now)
 				for failing && b.TryRetry(now, n, 0).Allowed {
-					retries = append(retries, now)
+					reserved = append(reserved, b)
+				}
+				if len(reserved) > 0 && rapid.IntRange(0, 9).Draw(t, "send") == 0 {
+					for _, budget := range reserved {
+						budget.Sent(now)
+						retries = append(retries, now)
+					}
+					reserved = nil
 				}
 			}
 		}
@@ -74,6 +86,8 @@
 	}{{1, true}, {1, true}, {1, false}, {0, true}, {0, false}} {
 		if got := b.TryRetry(epoch, 1, step.reserve).Allowed; got != step.want {
 			t.Errorf("step %d: got TryRetry %v, want the opposite", i, got)
+		} else if got {
+			b.Sent(epoch)
 		}
 	}
 	if !b.TryRetry(epoch.Add(11*time.Second), 1, 0).Allowed {
@@ -91,8 +105,9 @@
 			b.RecordRequest(now)
 		}
 		if d := b.TryRetry(now.Add(500*time.Millisecond), 340, 1); !d.Allowed {
-			t.Errorf("no retry in second %d with five requests a second, want one: %+v", second, d)
+			t.Fatalf("no retry in second %d with five requests a second, want one: %+v", second, d)
 		}
+		b.Sent(now.Add(500 * time.Millisecond))
 	}
 }
 
@@ -110,3 +125,14 @@
 		t.Errorf("one of five gateways made %d retries without recorded requests, want 11", retries)
 	}
 }
+
+func TestReleasedRetryIsAvailableAgain(t *testing.T) {
+	b := NewWindowBudget(0, 1, 10*time.Second, longAgo)
+	if !b.TryRetry(epoch, 1, 0).Allowed || b.TryRetry(epoch, 1, 0).Allowed {
+		t.Error("want exactly one reserved retry")
+	}
+	b.Release()
+	if !b.TryRetry(epoch, 1, 0).Allowed {
+		t.Error("no retry after the reserved one was released, want one")
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -267,6 +267,8 @@
 	// MatchesRequest, if set, reports whether a response with these headers
 	// belongs to this request.
 	MatchesRequest func(http.Header) bool
+	// OnSend, if set, is called by Do when it begins to write the request.
+	OnSend func()
 }
 
 // Exchange is one request and its response on one connection. It ends with
@@ -313,6 +315,9 @@
 		e.Abort()
 		return nil, errors.Join(ErrNotSent, ctx.Err())
 	}
+	if r.OnSend != nil {
+		r.OnSend()
+	}
 	e.writeRequest(r)
 	if err := e.readResponseHead(r); err != nil {
 		e.Abort()
