--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -233,7 +233,7 @@
 	return live
 }
 
-// Sharing implements GatewayCounter.
+// Sharing implements SharingCounter.
 func (p *Peers) Sharing() (gateways int, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -42,9 +42,9 @@
 	minRetryAfter = 100 * time.Millisecond
 )
 
-// GatewayCounter returns the number of gateways that share the limits of the
+// SharingCounter returns the number of gateways that share the limits of the
 // deployment.
-type GatewayCounter interface {
+type SharingCounter interface {
 	// Sharing returns the number of gateways, including this one, that may be using
 	// their share of a limit, whether or not this gateway can reach them now. known is
 	// false if this gateway has never reached another one although there should be
@@ -59,7 +59,7 @@
 	Directory *directory.Directory
 	Scheduler *routing.Scheduler
 	Pool      *upstream.Pool
-	Gateways  GatewayCounter
+	Gateways  SharingCounter
 	Clock     clock.Clock
 	Metrics   *telemetry.Metrics
 	Log       *logrus.Entry
