Let requests that waited for a paused process pay for no retries

After gateways did not run for seconds, backend servers could get more retries than the budget allows.

Cause: a request counts for the budget when the gateway reads it. After a pause it reads what callers sent seconds ago, while the servers and the stated target count those requests in an earlier window.

Read within one bucket of 100 ms the requests paid for nothing before, too, since a period never includes the requests of its first bucket.

Why it works: a check each 250 ms, by the clock that runs on while the machine is suspended, finds that the process did not run for 0.75 s or more. Requests read until 2 s after that pay for no retry. The pause is logged and counted.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -72,7 +72,7 @@
 // caller disconnects.
 func (s *Server) serve(ctx context.Context, req *request) {
 	defer req.releaseRetry()
-	s.retryBudget(req.service.Name).RecordRequest(s.deps.Clock.Now())
+	s.recordRequest(req.service.Name)
 	fwd := newResponseForwarder(s, req)
 	for {
 		chosen, ok := s.chooseServer(req)
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -134,7 +134,7 @@
 	}
 	d.server = NewServer(Dependencies{
 		Codec: p.Codec, View: d.view, Directory: d.directory, Scheduler: scheduler, Pool: d.pool, Gateways: d.peers,
-		Clock: monotonic, Metrics: d.metrics, Log: d.log, Settings: d.settings.Load, Seed: o.Seed,
+		Clock: monotonic, Elapsed: elapsed, Metrics: d.metrics, Log: d.log, Settings: d.settings.Load, Seed: o.Seed,
 	})
 	d.ingress = ingress.New(ingress.Config{
 		Handle: d.handle, Limits: d.limits, CloseAfterResponse: d.closeAfterResponse, OnRefusal: d.onIngressRefusal,
@@ -264,7 +264,7 @@
 // startBackgroundTasks starts the goroutines that run until the context ends.
 func (d *Daemon) startBackgroundTasks(ctx context.Context, group *errgroup.Group) {
 	for _, task := range []func(context.Context){
-		d.view.Run, d.view.Sweep, d.peers.Run, d.sweepPool, d.pollSettings,
+		d.view.Run, d.view.Sweep, d.peers.Run, d.sweepPool, d.pollSettings, d.checkPauses,
 	} {
 		group.Go(func() error {
 			task(ctx)
@@ -313,6 +313,11 @@
 	clock.Every(ctx, sweepPoolInterval, func() { d.pool.Sweep(func(string) bool { return true }) })
 }
 
+// checkPauses periodically checks whether the process did not run for some time.
+func (d *Daemon) checkPauses(ctx context.Context) {
+	clock.Every(ctx, clock.PauseCheckInterval, d.server.checkPause)
+}
+
 // pollSettings reloads settings that changed without a signal.
 func (d *Daemon) pollSettings(ctx context.Context) {
 	clock.Every(ctx, settingsInterval, d.reload)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,6 +16,7 @@
 	callersDisconnected gometrics.Counter
 	truncatedResponses  gometrics.Counter
 	noCapacity          gometrics.Counter
+	pauses              gometrics.Counter
 }
 
 func newGatewayMetrics(registry *telemetry.Metrics) *gatewayMetrics {
@@ -25,6 +26,7 @@
 		retriesRefused:      registry.Counter("sesame_gateway_repeats_refused_total"),
 		callersDisconnected: registry.Counter("sesame_gateway_callers_gone_total"),
 		noCapacity:          registry.Counter("sesame_gateway_turned_away_total"),
+		pauses:              registry.Counter("sesame_gateway_pauses_total"),
 		truncatedResponses:  registry.Counter("sesame_gateway_answers_cut_total"),
 	}
 }
--- a/gateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -22,6 +22,8 @@
 	simStep        = 10 * time.Millisecond
 	// simRetries is how often each request would be retried without a budget.
 	simRetries = 3
+	// simReadsPerStep is how many waiting requests a gateway reads in a step.
+	simReadsPerStep = 2
 )
 
 // simGateway is one gateway address; a restart replaces its components.
@@ -29,8 +31,12 @@
 	address string
 	seeds   []string
 	up      bool
-	peers   *Peers
-	server  *Server
+	// paused is true while the process does not run; unread counts the requests that
+	// wait for it.
+	paused bool
+	unread int
+	peers  *Peers
+	server *Server
 }
 
 // heldRetry is a retry that the budget allowed and that is sent later.
@@ -71,7 +77,7 @@
 	g.up = true
 	g.peers = NewPeers(settings, routing.NewScheduler("a"), sim.clock, discardLog())
 	g.server = NewServer(Dependencies{
-		Gateways: g.peers, Clock: sim.clock, Metrics: telemetry.New(), Log: discardLog(), Settings: func() *deployment.Settings { return settings },
+		Gateways: g.peers, Clock: sim.clock, Elapsed: func() time.Duration { return sim.clock.Now().Sub(epoch) }, Metrics: telemetry.New(), Log: discardLog(), Settings: func() *deployment.Settings { return settings },
 	})
 }
 
@@ -83,6 +89,12 @@
 		if step%int(helloInterval/simStep) == 0 {
 			sim.sendHellos()
 		}
+		for _, g := range sim.gateways {
+			if step%int(clock.PauseCheckInterval/simStep) == 0 && g.up && !g.paused {
+				g.server.checkPause()
+			}
+		}
+		sim.readWaiting()
 		sim.sendHeld()
 		if step%max(1, int(time.Second/simStep)/perSecond) != 0 {
 			continue
@@ -97,12 +109,12 @@
 
 func (sim *budgetSimulation) sendHellos() {
 	for from, g := range sim.gateways {
-		if !g.up {
+		if !g.up || g.paused {
 			continue
 		}
 		targets, message := g.peers.nextRound()
 		for to, peer := range sim.gateways {
-			if peer.up && sim.linked(from, to) && slices.Contains(targets, peer.address) {
+			if peer.up && !peer.paused && sim.linked(from, to) && slices.Contains(targets, peer.address) {
 				peer.peers.handleMessage(message)
 			}
 		}
@@ -121,11 +133,29 @@
 	})
 }
 
-// request sends a request, which every backend server refuses unless the service is
-// healthy.
+// request sends a request to a gateway.
 func (sim *budgetSimulation) request(g *simGateway) {
 	sim.requests = append(sim.requests, sim.clock.Now())
-	g.server.retryBudget("app").RecordRequest(sim.clock.Now())
+	g.unread++
+	sim.readWaiting()
+}
+
+// readWaiting lets each gateway that runs read some of the requests that wait for it.
+func (sim *budgetSimulation) readWaiting() {
+	for _, g := range sim.gateways {
+		for range min(g.unread, simReadsPerStep) {
+			if g.up && !g.paused {
+				sim.handle(g)
+			}
+		}
+	}
+}
+
+// handle lets a gateway handle an unread request, which every backend server refuses
+// unless the service is healthy.
+func (sim *budgetSimulation) handle(g *simGateway) {
+	g.unread--
+	g.server.recordRequest("app")
 	for range simRetries {
 		if sim.healthy {
 			return
@@ -284,3 +314,21 @@
 	sim.requireWithinBudget(t)
 	sim.requireRetries(t, 15*time.Second, 18*time.Second)
 }
+
+// TestPausedGatewayPaysWithOldRequests guards against requests that waited while their
+// gateway did not run and then pay for retries in a later window.
+func TestPausedGatewayPaysWithOldRequests(t *testing.T) {
+	sim := newBudgetSimulation(4)
+	sim.run(12*time.Second, 20)
+	sim.run(1*time.Second, 20, 0, 1, 2, 3)
+	for _, g := range sim.gateways {
+		g.paused = true
+	}
+	sim.run(10*time.Second, 20, 0, 1, 2, 3)
+	for _, g := range sim.gateways {
+		g.paused = false
+	}
+	sim.run(20*time.Second, 20, 0, 1, 2, 3)
+	sim.requireWithinBudget(t)
+	sim.requireRetries(t, 24*time.Second, 30*time.Second)
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -61,8 +61,10 @@
 	Pool      *upstream.Pool
 	Gateways  SharingCounter
 	Clock     clock.Clock
-	Metrics   *telemetry.Metrics
-	Log       *logrus.Entry
+	// Elapsed also advances while the VM is suspended.
+	Elapsed clock.Elapsed
+	Metrics *telemetry.Metrics
+	Log     *logrus.Entry
 	// Settings returns the active settings.
 	Settings func() *deployment.Settings
 	// Seed is the seed of the random jitter of retry delays.
@@ -78,6 +80,7 @@
 	rng *rand.Rand
 	// startedAt is when the server was created.
 	startedAt time.Time
+	pauses    *clock.Pauses
 	// retryBudgets holds the retry budget of each service.
 	retryBudgets map[string]*retry.WindowBudget
 	// candidateLists holds the last list of candidates of each service.
@@ -87,7 +90,7 @@
 // NewServer returns a server.
 func NewServer(deps Dependencies) *Server {
 	return &Server{
-		deps: deps, metrics: newGatewayMetrics(deps.Metrics), startedAt: deps.Clock.Now(),
+		deps: deps, metrics: newGatewayMetrics(deps.Metrics), startedAt: deps.Clock.Now(), pauses: clock.NewPauses(deps.Elapsed),
 		rng:          rand.New(rand.NewPCG(deps.Seed, 3)), //nolint:gosec // not for secrets
 		retryBudgets: make(map[string]*retry.WindowBudget), candidateLists: make(map[string]candidateList),
 	}
@@ -107,6 +110,23 @@
 	return b
 }
 
+// recordRequest counts a request for the retry budget of its service. A request that
+// may have waited while the process did not run pays for no retry: its caller sent it
+// in an earlier window than the one in which it would be retried.
+func (s *Server) recordRequest(service string) {
+	if !s.pauses.CatchingUp() {
+		s.retryBudget(service).RecordRequest(s.deps.Clock.Now())
+	}
+}
+
+// checkPause logs and counts that the process did not run for some time.
+func (s *Server) checkPause() {
+	if pause := s.pauses.Check(); pause > 0 {
+		s.metrics.pauses.Inc(1)
+		s.deps.Log.WithFields(logrus.Fields{"event": "process_paused", "paused_ms": pause.Milliseconds()}).Warn("the process did not run for some time")
+	}
+}
+
 // request is a caller's request in flight.
 type request struct {
 	*RequestInfo
