--- a/cmd/sesame-soak/main.go
+++ b/cmd/sesame-soak/main.go
@@ -21,6 +21,8 @@
 	Duration  time.Duration `default:"8s" help:"Time for which callers send requests in the run of each seed."`
 	Gateways  int           `default:"3" help:"Number of gateways of the deployment."`
 	Faults    int           `default:"10" help:"Number of faults in the run of each seed."`
+	Extra     int           `default:"10" help:"Extra retries of a service that the budget allows."`
+	Refuse    bool          `help:"Let all backend servers refuse all requests, so that the retry budget is used up."`
 	Mutation  string        `help:"Disable this guard in programs built with the tag sesame_mutation, and succeed only if a seed fails."`
 }
 
@@ -29,6 +31,7 @@
 	kong.Parse(&line, kong.Name("sesame-soak"), kong.Description("Soak test of gateways with injected faults."))
 	opts := soak.DefaultOptions()
 	opts.Bin, opts.Duration, opts.Gateways, opts.Faults = line.Bin, line.Duration, line.Gateways, line.Faults
+	opts.RetryExtra, opts.ServersRefuse = line.Extra, line.Refuse
 	if line.Mutation != "" {
 		opts.Environment = []string{"SESAME_MUTATION=" + line.Mutation}
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -25,7 +25,7 @@
 	SettingsReload   = "settings read again"
 )
 
-// Faults in effect for the entire test. Random plans do not contain them.
+// Faults in effect for the entire test. They are not drawn at random.
 const (
 	// CutFirstRuns: each backend server cuts its answer to the first run of every
 	// request that must not run twice.
@@ -83,5 +83,8 @@
 		})
 	}
 	slices.SortFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
+	if o.ServersRefuse {
+		faults = slices.Insert(faults, 0, Fault{Kind: AllServersRefuse})
+	}
 	return faults
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,6 +31,9 @@
 	// RetryExtra is the number of retries of a service that the budget allows in
 	// addition to a fraction of the requests.
 	RetryExtra int
+	// ServersRefuse adds AllServersRefuse to each random plan, so that the retry budget
+	// is used up.
+	ServersRefuse bool
 	// Plan, if not nil, replaces the plan that the seed determines.
 	Plan []Fault
 	// Environment is added to the environment of the gateways.
