Keep what is newer when the store was restored from an older copy

A store that comes back from a copy gives out revisions again. Before, a watch that went on from such a revision missed changes, and a listing with a lower revision was refused until the store had caught up; meanwhile the keys counted as unconfirmed and the gateway was not ready.

Now what is known has the version (era, revision), package storeera: a newer era means a complete listing before anything counts as confirmed, an answer of an earlier era changes nothing, an invalid or implausible one is ignored and counted. The active configuration, revoked keys, draining and removed servers stay; entries that the copy lacks are treated as after an outage.

--- a/decisionlog/decisionlog.go
+++ b/decisionlog/decisionlog.go
@@ -41,7 +41,7 @@
 	"config_accepted": "configuration", "store_lost": "store", "store_regained": "store", "process_state": "process",
 	"backend_ready": "server", "backend_draining": "server", "backend_gone": "server", "backend_lapsed": "server", "backend_unusable": "server",
 	"settings_reloaded": "settings", "settings_refused": "settings", "peer_heard": "peer", "peer_lost": "peer",
-	"gateways_counted": "gateways", "process_paused": "pause",
+	"gateways_counted": "gateways", "process_paused": "pause", "store_era": "store era",
 }
 
 // Line is one line of a log. The JSON output uses the names of the fields.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -7,7 +7,9 @@
 // draining, so a draining server does not become usable again before it restarts,
 // also if a version between them cannot be decoded. A ready server whose entry is removed shortly after
 // an outage of the store stays usable until LeaseExpiryGrace after the store's
-// recovery.
+// recovery. After a restore of the store from an older copy the same holds for entries
+// that the copy lacks, and an incarnation that was removed before does not become usable
+// because the copy still has its entry.
 package directory
 
 import (
@@ -52,6 +54,21 @@
 	Removed bool
 }
 
+const (
+	// removedHold is how long a removed incarnation is remembered. A copy from which the
+	// store is restored is some seconds old.
+	removedHold = 10 * time.Minute
+	// maxRemoved limits the remembered incarnations.
+	maxRemoved = 4096
+)
+
+// removedServer is an incarnation whose entry was removed.
+type removedServer struct {
+	startedAtMs int64
+	draining    bool
+	removedAt   time.Time
+}
+
 // record is the state of one registry entry.
 type record struct {
 	server   *BackendServer
@@ -102,11 +119,13 @@
 	// within LeaseExpiryGrace of that time counts as a lease expired by the
 	// outage.
 	storeRecoveredAt time.Time
+	// removed holds the last removed incarnation of each ID.
+	removed map[string]removedServer
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{records: make(map[string]*record), byService: make(map[string][]*BackendServer)}
+	return &Directory{records: make(map[string]*record), byService: make(map[string][]*BackendServer), removed: make(map[string]removedServer)}
 }
 
 // Revision returns the newest store revision that was applied.
@@ -146,6 +165,33 @@
 	if revision < d.revision {
 		return nil, false
 	}
+	return d.replace(now, changes, revision), true
+}
+
+// Restore applies a complete listing of a store that was restored from an older copy:
+// its revisions are not comparable with those before. Ready servers that the listing
+// lacks are treated as after an outage. An entry of an incarnation that was removed
+// before is not usable until the server writes it again. Restore accepts any revision.
+func (d *Directory) Restore(now time.Time, changes []Change, revision uint64) ([]Event, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.storeRecoveredAt = now
+	d.revision = 0
+	for _, r := range d.records {
+		r.revision = 0
+	}
+	restored := slices.Clone(changes)
+	for i := range restored {
+		c := &restored[i]
+		if removed, found := d.removed[c.ID]; found && c.Server != nil && d.records[c.ID] == nil && removed.startedAtMs == c.Server.StartedAtMs {
+			c.Server = nil
+		}
+	}
+	return d.replace(now, restored, revision), true
+}
+
+// replace applies a complete listing. The caller holds mu.
+func (d *Directory) replace(now time.Time, changes []Change, revision uint64) []Event {
 	var events []Event
 	listed := make(map[string]bool, len(changes))
 	for i := range changes {
@@ -160,7 +206,7 @@
 	}
 	d.revision = revision
 	d.rebuildIndex()
-	return events, true
+	return events
 }
 
 // applyChange applies one change and appends the resulting event. A removal is
@@ -174,7 +220,8 @@
 		if c.Removed {
 			return events
 		}
-		r = &record{}
+		removed := d.removed[c.ID]
+		r = &record{draining: removed.draining, drainingStartedAtMs: removed.startedAtMs}
 		d.records[c.ID] = r
 	}
 	r.revision = max(r.revision, c.Revision)
@@ -218,15 +265,29 @@
 		}
 		return events
 	}
+	return d.delete(now, id, r, events)
+}
+
+// delete deletes an entry and remembers its incarnation.
+func (d *Directory) delete(now time.Time, id string, r *record, events []Event) []Event {
 	delete(d.records, id)
+	if r.server != nil && len(d.removed) < maxRemoved {
+		d.removed[id] = removedServer{r.server.StartedAtMs, r.draining, now}
+	}
 	return append(events, Event{ID: id, State: StateRemoved, Server: r.server})
 }
 
 // Sweep removes the entries whose leases expired during an outage and that were
-// not registered again within LeaseExpiryGrace.
+// not registered again within LeaseExpiryGrace. It forgets removed incarnations after
+// removedHold.
 func (d *Directory) Sweep(now time.Time) []Event {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for id, removed := range d.removed {
+		if now.Sub(removed.removedAt) >= removedHold {
+			delete(d.removed, id)
+		}
+	}
 	if d.storeRecoveredAt.IsZero() || now.Sub(d.storeRecoveredAt) < LeaseExpiryGrace {
 		return nil
 	}
@@ -235,8 +296,7 @@
 		if r.leaseExpiredAt.IsZero() {
 			continue
 		}
-		delete(d.records, id)
-		events = append(events, Event{ID: id, State: StateRemoved, Server: r.server})
+		events = d.delete(now, id, r, events)
 	}
 	if events != nil {
 		d.rebuildIndex()
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/sesameswitch/sesameswitch/ingress"
 	"github.com/sesameswitch/sesameswitch/routes"
 	"github.com/sesameswitch/sesameswitch/routing"
+	"github.com/sesameswitch/sesameswitch/storeera"
 	"github.com/sesameswitch/sesameswitch/telemetry"
 	"github.com/sesameswitch/sesameswitch/upstream"
 )
@@ -115,6 +116,14 @@
 	store := p.NewStore(func() string { return d.settings.Load().StoreAddress })
 	maxConfigDelay := func() time.Duration { return d.settings.Load().Bounds.MaxConfigDelay }
 	d.view = NewView(store, d.directory, elapsed, maxConfigDelay, d.log, scheduler.RemoveServer, func(t *routes.Table) { scheduler.SetEventGapTargets(eventGapTargets(t)) })
+	storeEra := d.metrics.Gauge("sesame_gateway_store_era")
+	d.view.OnEra = func(era storeera.Era, verdict storeera.Verdict) {
+		if verdict == storeera.Newer {
+			storeEra.Update(int64(era.Number)) //nolint:gosec // a number beyond the range of the metric is shown negative
+			return
+		}
+		d.metrics.Counter("sesame_gateway_store_answers_ignored_total", "reason", string(verdict)).Inc(1)
+	}
 	connectionsOpened := d.metrics.Counter("sesame_gateway_connections_opened_total")
 	surplusResponses := d.metrics.Counter("sesame_gateway_surplus_responses_total")
 	d.pool = upstream.New(upstream.Config{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/sesameswitch/sesameswitch/ingress"
 	"github.com/sesameswitch/sesameswitch/routes"
 	"github.com/sesameswitch/sesameswitch/routing"
+	"github.com/sesameswitch/sesameswitch/storeera"
 )
 
 // RequestInfo is the metadata of a caller's request, decoded once.
@@ -100,6 +101,8 @@
 // Snapshot is the state of the platform's store, limited to the entries that a
 // gateway uses.
 type Snapshot struct {
+	// Era is the era that all answers of the listing state.
+	Era storeera.Era
 	// Revision is the revision of the store when the listing began.
 	Revision uint64
 	// Table is nil if the store holds no configuration yet.
@@ -112,6 +115,7 @@
 
 // Delta holds the changes of the store after a revision.
 type Delta struct {
+	Era storeera.Era
 	// Revision is the revision up to which the changes are complete.
 	Revision uint64
 	// Tables are the new versions of the configuration in order.
@@ -122,8 +126,29 @@
 	EntryErrors     []error
 }
 
+// ConfigurationRead is the current configuration of the store.
+type ConfigurationRead struct {
+	Era storeera.Era
+	// Table is nil if the store holds no configuration.
+	Table *routes.Table
+}
+
+// AnswerError is the error of a call that the store answered. It carries the era that
+// the answer states.
+type AnswerError struct {
+	Era storeera.Era
+	Err error
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *AnswerError) Unwrap() error { return e.Err }
+
 // Store reads the platform's store. Any call may fail, be refused by the store,
-// or block until its context ends.
+// or block until its context ends. An error of a call that was answered contains an
+// AnswerError.
 type Store interface {
 	// List reads the complete state.
 	List(ctx context.Context) (*Snapshot, error)
@@ -131,7 +156,6 @@
 	// returns an empty Delta after the wait. It fails with ErrCompacted if the
 	// store no longer has all changes after the revision.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*Delta, error)
-	// Configuration reads the current configuration; nil if the store holds
-	// none.
-	Configuration(ctx context.Context) (*routes.Table, error)
+	// Configuration reads the current configuration.
+	Configuration(ctx context.Context) (*ConfigurationRead, error)
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -204,6 +204,13 @@
 			return refusal
 		}
 	}
+	if req.table.NeedsKey(req.route) && !s.keysConfirmed() {
+		s.deps.View.AwaitListing(ctx)
+		req.table = s.deps.View.Table()
+		if refusal := s.identify(req); refusal != nil {
+			return refusal
+		}
+	}
 	if req.table.NeedsKey(req.route) && !s.keysConfirmed() {
 		return newRefusal(http.StatusServiceUnavailable, "keys_unconfirmed").withRetryAfter(startRetryAfter)
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -13,6 +13,7 @@
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/directory"
 	"github.com/sesameswitch/sesameswitch/routes"
+	"github.com/sesameswitch/sesameswitch/storeera"
 )
 
 // ErrCompacted reports that the store no longer has the history from which a
@@ -50,6 +51,8 @@
 	// ends an outage. The leases of entries that are removed just after an outage
 	// may have expired because of the outage.
 	outageAfter = 700 * time.Millisecond
+	// ignoredLogInterval is the least time between two log lines about ignored answers.
+	ignoredLogInterval = time.Second
 	// sweepInterval is how often entries with expired leases are checked.
 	sweepInterval = 250 * time.Millisecond
 )
@@ -77,6 +80,20 @@
 	unavailable    bool
 	// mu serializes the activation of tables.
 	mu sync.Mutex
+	// eraMu guards eras and confirmations: an answer confirms the active configuration
+	// only while its era is the newest.
+	eraMu sync.Mutex
+	eras  storeera.Tracker
+	// ignoredAnswers counts the ignored answers since the last log line about them, at
+	// ignoredLoggedAt.
+	ignoredAnswers  int
+	ignoredLoggedAt time.Duration
+	// listedEra is the era of the last complete listing. Only Run uses it.
+	listedEra storeera.Era
+	// eraChanged ends the wait of a watch when another call has seen a newer era.
+	eraChanged chan struct{}
+	// relisted is closed when a newer era is listed completely; nil if none is missing.
+	relisted chan struct{}
 	// refreshes lets concurrent calls of Refresh share one read of the store.
 	refreshes singleflight.Group
 	// refreshFailedAt is when a refresh last failed, in nanoseconds of the clock
@@ -86,16 +103,18 @@
 	// be decoded.
 	newerUnreadable atomic.Bool
 	// onRemoved is called for each backend server that was removed, onActivated
-	// for each table that becomes active.
+	// for each table that becomes active. OnEra, if set before Run, is called with the
+	// era and the verdict of each answer that is not current.
 	onRemoved   func(id string)
 	onActivated func(t *routes.Table)
+	OnEra       func(era storeera.Era, verdict storeera.Verdict)
 	// listed reports whether the directory was listed completely at least once.
 	listed atomic.Bool
 }
 
 // NewView returns an empty view.
 func NewView(store Store, dir *directory.Directory, elapsed clock.Elapsed, maxConfigDelay func() time.Duration, log *logrus.Entry, onRemoved func(string), onActivated func(*routes.Table)) *View {
-	return &View{store: store, directory: dir, elapsed: elapsed, maxConfigDelay: maxConfigDelay, log: log, onRemoved: onRemoved, onActivated: onActivated, unavailable: true}
+	return &View{store: store, directory: dir, elapsed: elapsed, maxConfigDelay: maxConfigDelay, log: log, onRemoved: onRemoved, onActivated: onActivated, unavailable: true, eraChanged: make(chan struct{}, 1)}
 }
 
 // Table returns the active configuration, or nil.
@@ -114,19 +133,83 @@
 // Listed reports whether the directory has been listed completely at least once.
 func (v *View) Listed() bool { return v.listed.Load() }
 
-// confirm records that the active table was the newest at the given time. If a
-// newer table exists that could not be decoded, confirm does nothing, because the
-// keys of that table are unknown.
-func (v *View) confirm(at time.Duration) {
-	if v.newerUnreadable.Load() {
-		return
-	}
-	for {
-		last := v.confirmedAt.Load()
-		if int64(at) <= last || v.confirmedAt.CompareAndSwap(last, int64(at)) {
-			return
+// errOtherEra reports that an answer of the store does not describe its present era.
+var errOtherEra = errors.New("gateway: the answer of the store is not of its present era")
+
+// observeEra returns whether an answer of the given era can be used, or begins a newer
+// era. After a restore of the store what was known is not confirmed until everything
+// was read again; the active configuration and the directory stay in use.
+func (v *View) observeEra(era storeera.Era) storeera.Verdict {
+	v.eraMu.Lock()
+	previous, age := v.eras.Era(), v.Age()
+	verdict := v.eras.Observe(era)
+	if verdict == storeera.Newer && previous.Stated {
+		v.confirmedAt.Store(0)
+		if v.relisted == nil {
+			v.relisted = make(chan struct{})
 		}
 	}
+	v.eraMu.Unlock()
+	if verdict == storeera.Current {
+		return verdict
+	}
+	if v.OnEra != nil {
+		v.OnEra(era, verdict)
+	}
+	fields := logrus.Fields{"era": era.Number, "previous": previous.Number, "verdict": string(verdict), "age_ms": age.Milliseconds()}
+	if verdict != storeera.Newer {
+		v.logIgnored(fields)
+		return verdict
+	}
+	v.log.WithFields(fields).WithField("event", "store_era").Info("new era of the store; reading everything again")
+	select {
+	case v.eraChanged <- struct{}{}:
+	default:
+	}
+	return verdict
+}
+
+// logIgnored logs an answer that was ignored, at most once in ignoredLogInterval, with
+// the number of those since the last line.
+func (v *View) logIgnored(fields logrus.Fields) {
+	v.eraMu.Lock()
+	v.ignoredAnswers++
+	now, ignored := v.elapsed(), v.ignoredAnswers
+	due := v.ignoredLoggedAt == 0 || now-v.ignoredLoggedAt >= ignoredLogInterval
+	if due {
+		v.ignoredLoggedAt, v.ignoredAnswers = now, 0
+	}
+	v.eraMu.Unlock()
+	if due {
+		v.log.WithFields(fields).WithFields(logrus.Fields{"event": "store_answer_ignored", "answers": ignored}).Warn("answers of the store ignored because of their era")
+	}
+}
+
+// observeError observes the era in the error of a call that the store answered.
+func (v *View) observeError(err error) {
+	var answer *AnswerError
+	if errors.As(err, &answer) {
+		v.observeEra(answer.Era)
+	}
+}
+
+// isPresent reports whether an era is the newest one. The caller holds eraMu.
+func (v *View) isPresent(era storeera.Era) bool {
+	newest := v.eras.Era()
+	return era.Stated == newest.Stated && era.Number == newest.Number
+}
+
+// confirm records that the active table was the newest at the given time, as an answer
+// of the given era showed, unless a newer era is known meanwhile. If a newer table
+// exists that could not be decoded, confirm does nothing, because the keys of that
+// table are unknown.
+func (v *View) confirm(at time.Duration, era storeera.Era) {
+	v.eraMu.Lock()
+	defer v.eraMu.Unlock()
+	if v.newerUnreadable.Load() || !v.isPresent(era) {
+		return
+	}
+	v.confirmedAt.Store(max(v.confirmedAt.Load(), int64(at)))
 }
 
 // activate makes a table the active one if it is newer than the active table.
@@ -163,14 +246,18 @@
 		ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
 		defer cancel()
 		at := v.elapsed()
-		table, err := v.store.Configuration(ctx)
+		read, err := v.store.Configuration(ctx)
+		if err == nil && v.observeEra(read.Era) != storeera.Current {
+			err = errOtherEra
+		}
 		if err != nil {
+			v.observeError(err)
 			v.refreshFailedAt.Store(int64(v.elapsed()))
 			return nil, err
 		}
-		v.activate(table, "refresh")
+		v.activate(read.Table, "refresh")
 		v.newerUnreadable.Store(false)
-		v.confirm(at)
+		v.confirm(at, read.Era)
 		return nil, nil
 	})
 	select {
@@ -205,45 +292,95 @@
 		}
 		if err == nil {
 			backoff = minBackoff
-			clock.Sleep(ctx, start+v.watchInterval()-v.elapsed())
+			v.pause(ctx, start+v.watchInterval()-v.elapsed())
 			continue
 		}
+		v.observeError(err)
 		v.recordFailure(err)
 		clock.Sleep(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-// callStore makes one call to the store: a listing until one has succeeded, then
-// a watch. If the watch fails with ErrCompacted, a listing follows.
+// pause waits for a duration, or until another call has seen a newer era.
+func (v *View) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-v.eraChanged:
+	}
+}
+
+// mustList reports whether a complete listing of the present era is missing.
+func (v *View) mustList() bool {
+	v.eraMu.Lock()
+	defer v.eraMu.Unlock()
+	return !v.listed.Load() || !v.isPresent(v.listedEra)
+}
+
+// callStore makes one call to the store: a listing until one of the present era has
+// succeeded, then a watch. If the watch fails with ErrCompacted or states a newer era,
+// a listing follows.
 func (v *View) callStore(ctx context.Context) error {
-	if !v.listed.Load() {
+	select {
+	case <-v.eraChanged: // mustList tells what has to be done
+	default:
+	}
+	if v.mustList() {
 		return v.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
-	defer cancel()
 	start := v.elapsed()
-	delta, err := v.store.Watch(ctx, v.directory.Revision(), watchWait)
+	delta, err := v.watch(ctx)
 	if errors.Is(err, ErrCompacted) {
-		v.log.WithField("event", "store_compacted").Info("the store compacted the history of the watch; listing again")
+		v.log.WithField("event", "store_compacted").Info("the store no longer has the history of the watch; listing again")
+		v.observeError(err)
 		v.recordResponse()
 		return v.list(ctx)
 	}
 	if err != nil {
+		if v.observeError(err); v.mustList() {
+			return v.list(ctx)
+		}
 		return err
 	}
 	v.recordResponse()
+	switch v.observeEra(delta.Era) {
+	case storeera.Current:
+	case storeera.Newer:
+		return v.list(ctx)
+	default:
+		return errOtherEra
+	}
 	for _, t := range delta.Tables {
 		v.activate(t, "watch")
 	}
 	if len(delta.Tables) > 0 || delta.TableUnreadable {
 		v.newerUnreadable.Store(delta.TableUnreadable)
 	}
-	v.confirm(start)
+	v.confirm(start, delta.Era)
 	v.reportEvents(v.directory.Apply(time.Unix(0, int64(v.elapsed())), delta.ServerChanges, delta.Revision), delta.EntryErrors)
 	return nil
 }
 
+// watch waits for changes of the store. It ends early when another call has seen a
+// newer era.
+func (v *View) watch(ctx context.Context) (*Delta, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
+	defer cancel()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-v.eraChanged:
+			cancel()
+		case <-ended:
+		}
+	}()
+	return v.store.Watch(ctx, v.directory.Revision(), watchWait)
+}
+
 // list reads the complete state of the store.
 func (v *View) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -254,21 +391,59 @@
 		return err
 	}
 	v.recordResponse()
+	if verdict := v.observeEra(snapshot.Era); verdict != storeera.Current && verdict != storeera.Newer {
+		return errOtherEra
+	}
 	v.activate(snapshot.Table, "list")
-	if snapshot.Table != nil {
-		v.newerUnreadable.Store(false)
-		v.confirm(start)
+	now := time.Unix(0, int64(v.elapsed()))
+	replace := v.directory.Replace
+	if v.listed.Load() && snapshot.Era != v.listedEra {
+		replace = v.directory.Restore
 	}
-	events, ok := v.directory.Replace(time.Unix(0, int64(v.elapsed())), snapshot.ServerChanges, snapshot.Revision)
+	events, ok := replace(now, snapshot.ServerChanges, snapshot.Revision)
 	if !ok {
 		v.log.WithFields(logrus.Fields{"event": "list_refused", "revision": snapshot.Revision}).Warn("listing older than the directory refused")
 		return errors.New("gateway: the listing is older than the directory")
 	}
 	v.listed.Store(true)
+	v.listedEra = snapshot.Era
+	// A store that was restored may have lost the configuration that is active.
+	if snapshot.Table != nil || v.table.Load() != nil && snapshot.Era.Stated {
+		v.newerUnreadable.Store(false)
+		v.confirm(start, snapshot.Era)
+	}
+	v.endRelisting(snapshot.Era)
 	v.reportEvents(events, snapshot.EntryErrors)
 	return nil
 }
 
+// endRelisting ends the calls of AwaitListing if the listed era is the newest.
+func (v *View) endRelisting(era storeera.Era) {
+	v.eraMu.Lock()
+	defer v.eraMu.Unlock()
+	if v.relisted != nil && v.isPresent(era) {
+		close(v.relisted)
+		v.relisted = nil
+	}
+}
+
+// AwaitListing waits up to refreshTimeout for the listing of a newer era, if one is
+// missing.
+func (v *View) AwaitListing(ctx context.Context) {
+	v.eraMu.Lock()
+	relisted := v.relisted
+	v.eraMu.Unlock()
+	if relisted == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-relisted:
+	}
+}
+
 // recordResponse records that the store responded. It notifies the directory if
 // the response ends an outage.
 func (v *View) recordResponse() {
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -19,7 +19,9 @@
 	watched  chan struct{}
 }
 
-func (s *renewingStore) Configuration(context.Context) (*routes.Table, error) { return nil, nil }
+func (s *renewingStore) Configuration(context.Context) (*ConfigurationRead, error) {
+	return &ConfigurationRead{}, nil
+}
 
 func (s *renewingStore) List(context.Context) (*Snapshot, error) {
 	s.calls.Add(1)
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -63,6 +63,9 @@
 	gateways      []*gatewayProcess
 	startedAt     time.Time
 
+	// registryMu is held while a registry entry is written.
+	registryMu sync.Mutex
+
 	mu sync.Mutex
 	// servers lists all backend servers, including those that have left.
 	servers []*server
@@ -218,12 +221,19 @@
 	}
 }
 
-// publish stores the next configuration version. Each version adds a route, so that
-// the response to a request of that route shows whether a gateway has the version.
+// publish stores the next configuration version.
 func (d *deployment) publish() {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.version++
+	d.mu.Unlock()
+	d.writeConfig()
+}
+
+// writeConfig stores the configuration. Each version adds a route, so that the response
+// to a request of that route shows whether a gateway has the version.
+func (d *deployment) writeConfig() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	routes := ""
 	for v := 1; v <= d.version; v++ {
 		routes += fmt.Sprintf(`{"name":"since-%d","host":"app.example","prefix":"/since-%d/","type":"safe","timeout_ms":4000,"goal_ms":300,"priority":2,"service":"app","attempts":2},`, v, v)
@@ -232,6 +242,25 @@
 	d.store.Put("op/config", []byte(content))
 }
 
+// restoreStore copies the store, and replaces it by the copy after the duration of the
+// fault. What the operator and the servers wrote meanwhile is written again.
+func (d *deployment) restoreStore(f Fault) {
+	backup := d.store.Backup()
+	time.Sleep(f.For)
+	from := time.Now()
+	d.store.Restore(backup)
+	d.writeConfig()
+	d.mu.Lock()
+	servers := slices.Clone(d.servers)
+	d.mu.Unlock()
+	for _, s := range servers {
+		d.register(s)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.disruptions = append(d.disruptions, disruption{from, time.Now()})
+}
+
 // revokeKey publishes a configuration version without one of the keys. It does
 // nothing if only one key is left.
 func (d *deployment) revokeKey(n int) {
@@ -268,6 +297,8 @@
 		d.disrupt(f, func() { d.store.SetOutage(outage) }, func() { d.store.SetOutage(standin.NoOutage) })
 	case StoreCompaction:
 		d.store.Compact()
+	case StoreRestore:
+		d.restoreStore(f)
 	case StoreLinkFault:
 		linkState := []testbed.LinkState{testbed.LinkDown, testbed.LinkBlackhole, testbed.LinkDropsResponses, testbed.LinkDropsRequests, testbed.LinkDelayed}[f.Variant]
 		d.disrupt(f, func() { g.storeLink.SetState(linkState) }, func() { g.storeLink.SetState(testbed.LinkOpen) })
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -23,6 +23,7 @@
 	ConfigChange     = "configuration changes"
 	KeyRevocation    = "key taken away"
 	SettingsReload   = "settings read again"
+	StoreRestore     = "store restored from an older copy"
 )
 
 // Faults in effect for the entire test. They are not drawn at random.
@@ -39,6 +40,7 @@
 var faultKinds = []string{
 	KillGateway, TerminateGateway, PauseGateway, StoreOutage, StoreCompaction, StoreLinkFault, ServerLinkFault,
 	ServerErrors, ServerTruncates, ServerRefuses, ServerDrains, ConfigChange, KeyRevocation, SettingsReload,
+	StoreRestore,
 }
 
 // Fault is one fault of a plan.
--- a/soak/server.go
+++ b/soak/server.go
@@ -33,6 +33,8 @@
 	activeFault string
 	// drainingSince is when the server started to drain, or zero.
 	drainingSince time.Time
+	// left reports whether its entry was removed.
+	left bool
 }
 
 // addServer starts a backend server of a service and registers it.
@@ -55,13 +57,35 @@
 	d.mu.Lock()
 	d.servers = append(d.servers, s)
 	d.mu.Unlock()
-	d.register(s, "ready")
+	d.register(s)
 	return nil
 }
 
-// register writes the registry entry of a server, with the address of its link, in
-// the given state.
-func (d *deployment) register(s *server, state string) {
+// registeredState returns the state in the registry entry of the server; empty if the
+// entry was removed.
+func (s *server) registeredState() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.left:
+		return ""
+	case !s.drainingSince.IsZero():
+		return "draining"
+	default:
+		return "ready"
+	}
+}
+
+// register writes the registry entry of a server, with the address of its link, or
+// removes it if the server has left.
+func (d *deployment) register(s *server) {
+	d.registryMu.Lock()
+	defer d.registryMu.Unlock()
+	state := s.registeredState()
+	if state == "" {
+		d.store.Remove("servers/" + s.ID)
+		return
+	}
 	entry := strings.Replace(string(s.RegistryEntry(s.service, "zone-a", state)), s.Address(), s.link.Address(), 1)
 	d.store.Put("servers/"+s.ID, []byte(entry))
 }
@@ -125,13 +149,16 @@
 	if draining {
 		return
 	}
-	d.register(s, "draining")
 	s.mu.Lock()
 	s.drainingSince = time.Now()
 	s.mu.Unlock()
+	d.register(s)
 	d.history.addFailure("backend server starts", d.addServer(s.service))
 	time.Sleep(drainListenTime)
-	d.store.Remove("servers/" + s.ID)
+	s.mu.Lock()
+	s.left = true
+	s.mu.Unlock()
+	d.register(s)
 	s.close()
 }
 
