Send nothing new to a backend server that states that it is leaving

A replica that leaves says so in all its answers. Before, a gateway learnt it from the store only, or not at all while cut off from it.

Now the header of any response, also of errors, refusals and streams from their head on, takes that incarnation out of the choice, and held requests and retries are chosen again, as the check before each attempt sees it. Attempts in flight go on. It stays out whatever its entry says, also if the entry is removed and written again; a new incarnation is a new server. Telling peers was not tried.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -156,6 +156,37 @@
 	return events
 }
 
+// MarkLeaving records that an incarnation of a backend server has stated that it is
+// leaving: from then on it counts as draining, whatever its entry says, also if the
+// entry is removed and listed again. It returns false if that was known.
+func (d *Directory) MarkLeaving(now time.Time, s *BackendServer) (Event, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	event := Event{ID: s.ID, State: StateDraining, Server: s}
+	r := d.records[s.ID]
+	switch {
+	case r == nil:
+		known := d.removed[s.ID]
+		if known.draining && known.startedAtMs == s.StartedAtMs || len(d.removed) >= maxRemoved {
+			return Event{}, false
+		}
+		d.removed[s.ID] = removedServer{s.StartedAtMs, true, now}
+		return event, true
+	case r.server != nil && r.server.StartedAtMs != s.StartedAtMs: // restarted meanwhile
+		return Event{}, false
+	case r.draining && r.drainingStartedAtMs == s.StartedAtMs:
+		return Event{}, false
+	}
+	r.draining, r.drainingStartedAtMs = true, s.StartedAtMs
+	if r.server != nil {
+		leaving := *r.server
+		leaving.Draining = true
+		r.server = &leaving
+		d.rebuildIndex()
+	}
+	return event, true
+}
+
 // Replace applies a complete listing that began at the revision. Known entries
 // that it lacks are removed, unless they are newer than the listing. Replace
 // refuses a listing older than the directory and then returns false.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -150,3 +150,32 @@
 		}
 	}
 }
+
+// TestLeavingServerStaysOut checks that an incarnation that has stated that it is
+// leaving stays out whatever its entry says, and that its next incarnation does not.
+func TestLeavingServerStaysOut(t *testing.T) {
+	restarted := readyEntry("a", 9)
+	restarted.Server.StartedAtMs = 2
+	for _, test := range []struct {
+		name          string
+		before, after []Change
+		want          string
+	}{
+		{"entry unchanged", []Change{readyEntry("a", 1), readyEntry("b", 2)}, nil, "b"},
+		{"entry renewed", []Change{readyEntry("a", 1)}, []Change{readyEntry("a", 2)}, ""},
+		{"entry removed and written again", []Change{readyEntry("a", 1)}, []Change{removedEntry("a", 2), readyEntry("a", 3)}, ""},
+		{"entry removed before and written again", []Change{readyEntry("a", 1), removedEntry("a", 2)}, []Change{readyEntry("a", 3)}, ""},
+		{"entry undecodable and decodable again", []Change{readyEntry("a", 1), {ID: "a", Revision: 2}}, []Change{readyEntry("a", 3)}, ""},
+		{"restarted after", []Change{readyEntry("a", 1)}, []Change{restarted}, "a"},
+		{"restarted before", []Change{readyEntry("a", 1), restarted}, nil, "a"},
+	} {
+		d := New()
+		d.Apply(epoch, test.before, 9)
+		_, first := d.MarkLeaving(epoch, readyEntry("a", 1).Server)
+		_, again := d.MarkLeaving(epoch, readyEntry("a", 1).Server)
+		d.Apply(epoch, test.after, 10)
+		if got := usableIDs(d); got != test.want || first != (test.name != "restarted before") || again {
+			t.Errorf("%s: usable servers %q, want %q; changed %v, then %v", test.name, got, test.want, first, again)
+		}
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -364,6 +364,7 @@
 	if info.LoadKnown {
 		s.deps.Scheduler.ReportLoad(s.deps.Clock.Now(), active.server.ID, info.Running, info.Waiting)
 	}
+	s.applyStatements(active.server, info)
 	if info.NotRun {
 		s.drainBody(ex)
 		return resultNotRun, "the server did not run it"
@@ -381,6 +382,20 @@
 	return result, ""
 }
 
+// applyStatements applies what a backend server states about itself in the head of a
+// response. Attempts in flight go on.
+func (s *Server) applyStatements(server *directory.BackendServer, info ResponseInfo) {
+	for _, field := range info.InvalidFields {
+		s.metrics.ignoredField(field)
+		if s.invalidFields.due(s.deps.Elapsed()) {
+			s.deps.Log.WithFields(logrus.Fields{"event": "response_field_ignored", "server": server.ID, "field": field}).Warn("invalid header field of a backend server ignored")
+		}
+	}
+	if info.Leaving {
+		s.deps.View.MarkLeaving(server)
+	}
+}
+
 // connectionLimit returns the number of connections that this gateway may open
 // to one backend server of the request's service; zero means no limit.
 func (s *Server) connectionLimit(req *request) int {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,11 @@
 	// NotRun reports whether the backend server stated that it did not run the
 	// request.
 	NotRun bool
+	// Leaving reports whether the server stated that it is leaving.
+	Leaving bool
+	// InvalidFields names the header fields that were ignored because their value is
+	// not valid.
+	InvalidFields []string
 	// LoadKnown reports whether the response states the server's load: the
 	// numbers of running and waiting requests, and of slots.
 	LoadKnown               bool
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,10 @@
 	m.registry.Counter("sesame_gateway_refused_total", "route", route, "reason", reason).Inc(1)
 }
 
+func (m *gatewayMetrics) ignoredField(field string) {
+	m.registry.Counter("sesame_gateway_response_fields_ignored_total", "field", field).Inc(1)
+}
+
 func (m *gatewayMetrics) failed(route string) {
 	m.registry.Counter("sesame_gateway_failed_total", "route", route).Inc(1)
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -81,6 +81,8 @@
 	// startedAt is when the server was created.
 	startedAt time.Time
 	pauses    *clock.Pauses
+	// invalidFields limits the log lines about invalid header fields.
+	invalidFields logInterval
 	// retryBudgets holds the retry budget of each service.
 	retryBudgets map[string]*retry.WindowBudget
 	// candidateLists holds the last list of candidates of each service.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -51,8 +51,6 @@
 	// ends an outage. The leases of entries that are removed just after an outage
 	// may have expired because of the outage.
 	outageAfter = 700 * time.Millisecond
-	// ignoredLogInterval is the least time between two log lines about ignored answers.
-	ignoredLogInterval = time.Second
 	// sweepInterval is how often entries with expired leases are checked.
 	sweepInterval = 250 * time.Millisecond
 )
@@ -84,10 +82,8 @@
 	// only while its era is the newest.
 	eraMu sync.Mutex
 	eras  storeera.Tracker
-	// ignoredAnswers counts the ignored answers since the last log line about them, at
-	// ignoredLoggedAt.
-	ignoredAnswers  int
-	ignoredLoggedAt time.Duration
+	// ignoredAnswers limits the log lines about ignored answers.
+	ignoredAnswers logInterval
 	// listedEra is the era of the last complete listing. Only Run uses it.
 	listedEra storeera.Era
 	// eraChanged ends the wait of a watch when another call has seen a newer era.
@@ -169,19 +165,10 @@
 	return verdict
 }
 
-// logIgnored logs an answer that was ignored, at most once in ignoredLogInterval, with
-// the number of those since the last line.
+// logIgnored logs an answer that was ignored, at a bounded rate.
 func (v *View) logIgnored(fields logrus.Fields) {
-	v.eraMu.Lock()
-	v.ignoredAnswers++
-	now, ignored := v.elapsed(), v.ignoredAnswers
-	due := v.ignoredLoggedAt == 0 || now-v.ignoredLoggedAt >= ignoredLogInterval
-	if due {
-		v.ignoredLoggedAt, v.ignoredAnswers = now, 0
-	}
-	v.eraMu.Unlock()
-	if due {
-		v.log.WithFields(fields).WithFields(logrus.Fields{"event": "store_answer_ignored", "answers": ignored}).Warn("answers of the store ignored because of their era")
+	if v.ignoredAnswers.due(v.elapsed()) {
+		v.log.WithFields(fields).WithField("event", "store_answer_ignored").Warn("answer of the store ignored because of its era")
 	}
 }
 
@@ -490,6 +477,17 @@
 	}
 }
 
+// MarkLeaving records that a backend server has stated in a response that it is
+// leaving.
+func (v *View) MarkLeaving(s *directory.BackendServer) {
+	event, changed := v.directory.MarkLeaving(time.Unix(0, int64(v.elapsed())), s)
+	if !changed {
+		return
+	}
+	v.log.WithFields(logrus.Fields{"event": "backend_leaving", "server": s.ID, "service": s.Service, "address": s.Address, "age_ms": 0}).Info("backend server states that it is leaving")
+	v.reportEvents([]directory.Event{event}, nil)
+}
+
 // Sweep periodically removes entries with expired leases until the context ends.
 func (v *View) Sweep(ctx context.Context) {
 	clock.Every(ctx, sweepInterval, func() {
--- a/soak/check.go
+++ b/soak/check.go
@@ -21,6 +21,7 @@
 	validRequestAccepted  = "a valid request is not refused"
 	revokedKeyUnused      = "a revoked key runs no request"
 	correctAccount        = "a request runs for the account of its key"
+	leavingServerUnused   = "a server that states that it is leaving receives no new request"
 	drainedServerUnused   = "a draining backend server receives no new request"
 	noPlannedInterruption = "planned maintenance interrupts no request"
 	versionMonotonic      = "the configuration version never decreases"
@@ -46,6 +47,8 @@
 	// gateway must remove. refused is true if the server refused the request without
 	// running it.
 	hasKey, refused bool
+	// statesLeaving is true if the response stated that the server is leaving.
+	statesLeaving bool
 }
 
 // history records what callers and backend servers observed. Its methods are safe
@@ -130,6 +133,7 @@
 	}
 	found = append(found, d.checkVersions()...)
 	found = append(found, d.checkRetryBudget()...)
+	found = append(found, d.checkLeaving()...)
 	h.keepLogs = len(found) > 0
 	if h.keepLogs {
 		// Not a violation; shows where the logs are.
@@ -259,6 +263,31 @@
 	return found
 }
 
+// checkLeaving checks that no gateway sends a request to a server if the caller sent it
+// later than drainPeriod after the gateway had passed on a response in which the server
+// stated that it is leaving.
+func (d *deployment) checkLeaving() []Violation {
+	type pair struct{ gateway, server string }
+	statedAt := make(map[pair]time.Time)
+	for _, c := range d.history.calls {
+		for _, r := range d.history.received[c.id] {
+			known, found := statedAt[pair{c.gateway, r.server}]
+			if r.statesLeaving && c.err == nil && (!found || c.endedAt.Before(known)) {
+				statedAt[pair{c.gateway, r.server}] = c.endedAt
+			}
+		}
+	}
+	var found []Violation
+	for _, c := range d.history.calls {
+		for _, r := range d.history.received[c.id] {
+			if at, stated := statedAt[pair{c.gateway, r.server}]; stated && c.startedAt.After(at.Add(drainPeriod)) {
+				found = append(found, Violation{leavingServerUnused, fmt.Sprintf("%s by %s arrived at %s, sent %v after a response with the statement", c.id, c.gateway, r.server, c.startedAt.Sub(at))})
+			}
+		}
+	}
+	return found
+}
+
 // retryWindow is the window of the retry budget.
 const retryWindow = 10 * time.Second
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -24,6 +24,7 @@
 	KeyRevocation    = "key taken away"
 	SettingsReload   = "settings read again"
 	StoreRestore     = "store restored from an older copy"
+	ServerLeaves     = "backend server states that it is leaving"
 )
 
 // Faults in effect for the entire test. They are not drawn at random.
@@ -40,7 +41,7 @@
 var faultKinds = []string{
 	KillGateway, TerminateGateway, PauseGateway, StoreOutage, StoreCompaction, StoreLinkFault, ServerLinkFault,
 	ServerErrors, ServerTruncates, ServerRefuses, ServerDrains, ConfigChange, KeyRevocation, SettingsReload,
-	StoreRestore,
+	StoreRestore, ServerLeaves,
 }
 
 // Fault is one fault of a plan.
--- a/soak/server.go
+++ b/soak/server.go
@@ -33,6 +33,8 @@
 	activeFault string
 	// drainingSince is when the server started to drain, or zero.
 	drainingSince time.Time
+	// leaving reports whether its responses state that it is leaving.
+	leaving bool
 	// left reports whether its entry was removed.
 	left bool
 }
@@ -134,6 +136,8 @@
 		d.disrupt(f, func() { s.link.SetState(linkState) }, func() { s.link.SetState(testbed.LinkOpen) })
 	case ServerDrains:
 		d.drainServer(s)
+	case ServerLeaves:
+		d.leave(s, f.Variant%2 == 0)
 	default:
 		d.disrupt(f, func() { set(f.Kind) }, func() { set("") })
 	}
@@ -144,9 +148,9 @@
 // draining.
 func (d *deployment) drainServer(s *server) {
 	s.mu.Lock()
-	draining := !s.drainingSince.IsZero()
+	going := s.leaving || s.left || !s.drainingSince.IsZero()
 	s.mu.Unlock()
-	if draining {
+	if going {
 		return
 	}
 	s.mu.Lock()
@@ -162,6 +166,28 @@
 	s.close()
 }
 
+// leave starts a replacement of a server and lets its responses state that it is
+// leaving. Its entry is removed at the same time, or still says that it is ready until
+// it closes. It does nothing if the server is already going.
+func (d *deployment) leave(s *server, removeEntry bool) {
+	s.mu.Lock()
+	going := s.leaving || s.left || !s.drainingSince.IsZero()
+	s.leaving, s.left = true, s.left || removeEntry
+	s.mu.Unlock()
+	if going {
+		return
+	}
+	d.history.addFailure("backend server starts", d.addServer(s.service))
+	s.SetHeaderLines("Server-Leaving: 1")
+	d.register(s)
+	time.Sleep(drainListenTime)
+	s.mu.Lock()
+	s.left = true
+	s.mu.Unlock()
+	d.register(s)
+	s.close()
+}
+
 // handleRequest records the arrival of a request at a server and responds to it
 // according to the active fault. It reports whether the connection stays usable.
 func (d *deployment) handleRequest(s *server, e *standin.Exchange) bool {
@@ -171,7 +197,7 @@
 	}
 	r := receivedRequest{
 		server: s.ID, service: s.service, receivedAt: time.Now(), drainingSince: drainingSince, account: e.Tenant(), hasKey: e.HasKey(),
-		refused: activeFault == ServerRefuses || e.ExpectedReplica() != s.ID,
+		refused: activeFault == ServerRefuses || e.ExpectedReplica() != s.ID, statesLeaving: e.HasHeaderLines(),
 	}
 	id := e.RequestID()
 	firstRun := d.history.addReceived(id, r)
