Send nothing to a backend server during the pause that it asked for

A replica that refuses with 503 and Retry-After wants nothing from this gateway for so long. Before, the header was not read: a gateway sent each request to each of these servers, as far as the retry budget went.

Now the pause is kept for each incarnation (retry.Pushback), left out of the choice and checked again right before an attempt. If all servers of a service paused, a request that has not run is refused at once; callers return when the first pause ends, one after another as fast as that server is expected to serve them.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -77,7 +77,7 @@
 	for {
 		chosen, ok := s.chooseServer(req)
 		if !ok {
-			s.finishUnsuccessful(req, fwd, "no_backend_server")
+			s.finishUnsuccessful(req, fwd, s.reasonWithoutServer(req))
 			return
 		}
 		switch d := s.gate(req, fwd, chosen); d.Action {
@@ -229,13 +229,14 @@
 // streams.
 const interruptedStreamReserve = 1
 
-// chooseServer returns the backend server for the next attempt.
+// chooseServer returns the backend server for the next attempt, not one that asked for
+// a pause.
 func (s *Server) chooseServer(req *request) (chosenServer, bool) {
 	usable := s.deps.Directory.Usable(req.service.Name)
 	if len(usable) == 0 {
 		return chosenServer{}, false
 	}
-	choice, ok := s.deps.Scheduler.Choose(s.deps.Clock.Now(), &req.job, s.candidates(req.service.Name, usable), req.excluded)
+	choice, ok := s.deps.Scheduler.Choose(s.deps.Clock.Now(), &req.job, s.candidates(req.service.Name, usable), s.excluded(req, usable))
 	if !ok {
 		return chosenServer{}, false
 	}
@@ -281,7 +282,7 @@
 	if remaining <= 0 {
 		return resultDeadlineExceeded
 	}
-	if !s.deps.Directory.IsUsable(chosen.server) {
+	if !s.deps.Directory.IsUsable(chosen.server) || s.paused(chosen.server) {
 		return resultNotSent
 	}
 	account := ""
@@ -394,6 +395,9 @@
 	if info.Leaving {
 		s.deps.View.MarkLeaving(server)
 	}
+	if info.Pause > 0 {
+		s.recordPause(server, info.Pause)
+	}
 }
 
 // connectionLimit returns the number of connections that this gateway may open
@@ -469,7 +473,11 @@
 	}
 	switch {
 	case req.runs == 0:
-		s.refuse(req, newRefusal(http.StatusServiceUnavailable, reason).withRetryAfter(s.retryDelay(req)))
+		delay, paused := s.pauseDelay(req)
+		if !paused {
+			delay = s.retryDelay(req)
+		}
+		s.refuse(req, newRefusal(http.StatusServiceUnavailable, reason).withRetryAfter(delay))
 	case reason == "deadline":
 		s.refuse(req, newRefusal(http.StatusGatewayTimeout, reason))
 	default:
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,6 +17,7 @@
 	truncatedResponses  gometrics.Counter
 	noCapacity          gometrics.Counter
 	pauses              gometrics.Counter
+	pushbacks           gometrics.Counter
 }
 
 func newGatewayMetrics(registry *telemetry.Metrics) *gatewayMetrics {
@@ -26,6 +27,7 @@
 		retriesRefused:      registry.Counter("sesame_gateway_repeats_refused_total"),
 		callersDisconnected: registry.Counter("sesame_gateway_callers_gone_total"),
 		noCapacity:          registry.Counter("sesame_gateway_turned_away_total"),
+		pushbacks:           registry.Counter("sesame_gateway_backend_pauses_total"),
 		pauses:              registry.Counter("sesame_gateway_pauses_total"),
 		truncatedResponses:  registry.Counter("sesame_gateway_answers_cut_total"),
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -75,7 +75,7 @@
 type Server struct {
 	deps    Dependencies
 	metrics *gatewayMetrics
-	// mu protects rng, retryBudgets and candidateLists.
+	// mu protects rng, retryBudgets, returns and candidateLists.
 	mu  sync.Mutex
 	rng *rand.Rand
 	// startedAt is when the server was created.
@@ -85,6 +85,10 @@
 	invalidFields logInterval
 	// retryBudgets holds the retry budget of each service.
 	retryBudgets map[string]*retry.WindowBudget
+	// pushback holds which backend servers asked for a pause, returns when the callers
+	// of each service return after one.
+	pushback *retry.Pushback
+	returns  map[string]*retry.Returns
 	// candidateLists holds the last list of candidates of each service.
 	candidateLists map[string]candidateList
 }
@@ -95,6 +99,7 @@
 		deps: deps, metrics: newGatewayMetrics(deps.Metrics), startedAt: deps.Clock.Now(), pauses: clock.NewPauses(deps.Elapsed),
 		rng:          rand.New(rand.NewPCG(deps.Seed, 3)), //nolint:gosec // not for secrets
 		retryBudgets: make(map[string]*retry.WindowBudget), candidateLists: make(map[string]candidateList),
+		pushback: retry.NewPushback(), returns: make(map[string]*retry.Returns),
 	}
 }
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -21,6 +21,7 @@
 	validRequestAccepted  = "a valid request is not refused"
 	revokedKeyUnused      = "a revoked key runs no request"
 	correctAccount        = "a request runs for the account of its key"
+	pausedServerUnused    = "a server that asks for a pause receives at most two requests in it"
 	leavingServerUnused   = "a server that states that it is leaving receives no new request"
 	drainedServerUnused   = "a draining backend server receives no new request"
 	noPlannedInterruption = "planned maintenance interrupts no request"
@@ -49,6 +50,8 @@
 	hasKey, refused bool
 	// statesLeaving is true if the response stated that the server is leaving.
 	statesLeaving bool
+	// pause is how long the server asked the gateway to send nothing; zero if it did not.
+	pause time.Duration
 }
 
 // history records what callers and backend servers observed. Its methods are safe
@@ -134,6 +137,7 @@
 	found = append(found, d.checkVersions()...)
 	found = append(found, d.checkRetryBudget()...)
 	found = append(found, d.checkLeaving()...)
+	found = append(found, d.checkPauses()...)
 	h.keepLogs = len(found) > 0
 	if h.keepLogs {
 		// Not a violation; shows where the logs are.
@@ -288,6 +292,43 @@
 	return found
 }
 
+const (
+	// pauseReactionTime is how long after a server asked for a pause requests may still
+	// arrive.
+	pauseReactionTime = 500 * time.Millisecond
+	// maxRequestsInPause is how many may arrive from one gateway after it.
+	maxRequestsInPause = 2
+)
+
+// checkPauses checks that a server that asked a gateway for a pause receives at most
+// maxRequestsInPause requests from it between pauseReactionTime after it asked and the
+// end of the pause.
+func (d *deployment) checkPauses() []Violation {
+	type pair struct{ gateway, server string }
+	received := make(map[pair][]receivedRequest)
+	for _, c := range d.history.calls {
+		for _, r := range d.history.received[c.id] {
+			p := pair{c.gateway, r.server}
+			received[p] = append(received[p], r)
+		}
+	}
+	var found []Violation
+	for p, requests := range received {
+		for _, asked := range requests {
+			n := 0
+			for _, r := range requests {
+				if r.receivedAt.After(asked.receivedAt.Add(pauseReactionTime)) && r.receivedAt.Before(asked.receivedAt.Add(asked.pause)) {
+					n++
+				}
+			}
+			if n > maxRequestsInPause {
+				found = append(found, Violation{pausedServerUnused, fmt.Sprintf("%s received %d requests of %s in a pause of %v from %.2fs", p.server, n, p.gateway, asked.pause, asked.receivedAt.Sub(d.startedAt).Seconds())})
+			}
+		}
+	}
+	return found
+}
+
 // retryWindow is the window of the retry budget.
 const retryWindow = 10 * time.Second
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -25,6 +25,7 @@
 	SettingsReload   = "settings read again"
 	StoreRestore     = "store restored from an older copy"
 	ServerLeaves     = "backend server states that it is leaving"
+	ServerAsksPause  = "backend server refuses and asks for a pause"
 )
 
 // Faults in effect for the entire test. They are not drawn at random.
@@ -41,7 +42,7 @@
 var faultKinds = []string{
 	KillGateway, TerminateGateway, PauseGateway, StoreOutage, StoreCompaction, StoreLinkFault, ServerLinkFault,
 	ServerErrors, ServerTruncates, ServerRefuses, ServerDrains, ConfigChange, KeyRevocation, SettingsReload,
-	StoreRestore, ServerLeaves,
+	StoreRestore, ServerLeaves, ServerAsksPause,
 }
 
 // Fault is one fault of a plan.
--- a/soak/server.go
+++ b/soak/server.go
@@ -18,6 +18,9 @@
 	// exceeds drainPeriod plus maxRecordingDelay, so that requests that arrive too
 	// late are detected.
 	drainListenTime = drainPeriod + 1500*time.Millisecond
+	// minAskedPause and maxAskedPause bound the pause that a server asks for.
+	minAskedPause = 300 * time.Millisecond
+	maxAskedPause = 6 * time.Second
 )
 
 // server is a simulated backend server behind a link that faults can impair.
@@ -199,8 +202,15 @@
 		server: s.ID, service: s.service, receivedAt: time.Now(), drainingSince: drainingSince, account: e.Tenant(), hasKey: e.HasKey(),
 		refused: activeFault == ServerRefuses || e.ExpectedReplica() != s.ID, statesLeaving: e.HasHeaderLines(),
 	}
+	if activeFault == ServerAsksPause && !r.refused {
+		r.refused, r.pause = true, minAskedPause+time.Duration(rand.Int64N(int64(maxAskedPause-minAskedPause)))
+	}
 	id := e.RequestID()
 	firstRun := d.history.addReceived(id, r)
+	if r.pause > 0 {
+		e.Refuse(503, fmt.Sprintf("Retry-After: %.3f", r.pause.Seconds()))
+		return true
+	}
 	if r.refused {
 		// Status 421 refuses a request that was sent to another replica.
 		e.Refuse(map[bool]int{true: 503, false: 421}[activeFault == ServerRefuses])
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,6 +28,13 @@
 func recordedPlans() map[string][]soak.Fault {
 	second := time.Second
 	return map[string][]soak.Fault{
+		// All servers of a service refuse and ask for pauses. Gateways that do not heed
+		// them send each request to each of these servers.
+		"all servers ask for pauses": {
+			{Kind: soak.ServerAsksPause, At: second, For: 2 * second, Target: 0, Variant: 0},
+			{Kind: soak.ServerAsksPause, At: second, For: 2 * second, Target: 0, Variant: 1},
+			{Kind: soak.ServerAsksPause, At: second, For: 2 * second, Target: 1, Variant: 0},
+		},
 		// A gateway that received the signal to reload its settings while it started
 		// was ended by the signal, because it handled signals only after it had read
 		// its settings. The failure was found with seed 16.
