--- a/gateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/deployment"
+	"github.com/sesameswitch/sesameswitch/history"
 	"github.com/sesameswitch/sesameswitch/routes"
 	"github.com/sesameswitch/sesameswitch/routing"
 	"github.com/sesameswitch/sesameswitch/telemetry"
@@ -173,43 +174,20 @@
 }
 
 // requireWithinBudget fails the test if the backend service got more retries in any
-// window than ratio x requests + extra. The requests are those of the window, of the
-// one before it, or of the one half a window before it, whichever has most.
+// window than the budget allows.
 func (sim *budgetSimulation) requireWithinBudget(t *testing.T) {
 	t.Helper()
-	worst, excess := "", 0.0
-	for _, from := range sim.retries {
-		retries := countBetween(sim.retries, from, from.Add(simRetryWindow))
-		requests := 0
-		for _, earlier := range []time.Duration{0, simRetryWindow / 2, simRetryWindow} {
-			requests = max(requests, countBetween(sim.requests, from.Add(-earlier), from.Add(simRetryWindow-earlier)))
-		}
-		if limit := simRetryRatio*float64(requests) + simRetryExtra; float64(retries)-limit > excess {
-			excess = float64(retries) - limit
-			worst = fmt.Sprintf("%d retries for %d requests in the window from %v; allowed are %.0f", retries, requests, from.Sub(epoch), limit)
-		}
-	}
-	if worst != "" {
+	budget := history.RetryBudget{Ratio: simRetryRatio, Extra: simRetryExtra, Window: simRetryWindow}
+	if worst, exceeded := budget.WorstWindow(sim.requests, sim.retries, epoch); exceeded {
 		t.Error(worst)
 	}
 }
 
-// countBetween counts the times from one time, included, until another.
-func countBetween(times []time.Time, from, until time.Time) int {
-	n := 0
-	for _, at := range times {
-		if !at.Before(from) && at.Before(until) {
-			n++
-		}
-	}
-	return n
-}
-
 // requireRetries fails the test if the gateways did not retry at all in the given
 // period: a budget that allows nothing is kept, too.
 func (sim *budgetSimulation) requireRetries(t *testing.T, from, until time.Duration) {
 	t.Helper()
-	if countBetween(sim.retries, epoch.Add(from), epoch.Add(until)) == 0 {
+	if history.CountBetween(sim.retries, epoch.Add(from), epoch.Add(until)) == 0 {
 		t.Errorf("no retry between %v and %v, want some", from, until)
 	}
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -5,10 +5,11 @@
 	"fmt"
 	"net/http"
 	"os"
-	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/sesameswitch/sesameswitch/history"
 )
 
 // Guarantees that are checked, as reports name them.
@@ -54,9 +55,9 @@
 	pause time.Duration
 }
 
-// history records what callers and backend servers observed. Its methods are safe
+// observations is what callers and backend servers observed. Its methods are safe
 // for concurrent use.
-type history struct {
+type observations struct {
 	mu    *sync.Mutex
 	calls []*call
 	// received maps the ID of each request to what backend servers received.
@@ -68,11 +69,11 @@
 	keepLogs bool
 }
 
-func newHistory() history {
-	return history{mu: &sync.Mutex{}, received: make(map[string][]receivedRequest)}
+func newObservations() observations {
+	return observations{mu: &sync.Mutex{}, received: make(map[string][]receivedRequest)}
 }
 
-func (h *history) addCall(c *call) {
+func (h *observations) addCall(c *call) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.calls = append(h.calls, c)
@@ -80,7 +81,7 @@
 
 // addReceived records a request that a server received, and reports whether it is
 // the first run of the request.
-func (h *history) addReceived(id string, r receivedRequest) (firstRun bool) {
+func (h *observations) addReceived(id string, r receivedRequest) (firstRun bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	firstRun = !r.refused && countRuns(h.received[id]) == 0
@@ -90,7 +91,7 @@
 
 // addFailure records the error of a step of the test itself, unless err is nil.
 // step says what the process or server should have done, for example "starts".
-func (h *history) addFailure(step string, err error) {
+func (h *observations) addFailure(step string, err error) {
 	if err == nil {
 		return
 	}
@@ -349,39 +350,12 @@
 			retries[service] = append(retries[service], received[i].receivedAt)
 		}
 	}
+	budget := history.RetryBudget{Ratio: retryRatio, Extra: d.opts.RetryExtra, Window: retryWindow}
 	var found []Violation
 	for service, times := range retries {
-		if v := d.worstRetryWindow(service, calls[service], times); v != nil {
-			found = append(found, *v)
+		if worst, exceeded := budget.WorstWindow(calls[service], times, d.startedAt); exceeded {
+			found = append(found, Violation{retryBudget, service + ": " + worst})
 		}
 	}
 	return found
 }
-
-// worstRetryWindow returns the violation of the window with the most retries beyond
-// the bound, or nil if no window has more than the bound.
-func (d *deployment) worstRetryWindow(service string, calls, retries []time.Time) *Violation {
-	slices.SortFunc(calls, time.Time.Compare)
-	slices.SortFunc(retries, time.Time.Compare)
-	var worst *Violation
-	mostExcess := 0.0
-	for _, from := range retries {
-		n, requests := countBetween(retries, from, from.Add(retryWindow)), 0
-		for _, earlier := range []time.Duration{0, retryWindow / 2, retryWindow} {
-			requests = max(requests, countBetween(calls, from.Add(-earlier), from.Add(retryWindow-earlier)))
-		}
-		limit := retryRatio*float64(requests) + float64(d.opts.RetryExtra)
-		if excess := float64(n) - limit; excess > mostExcess {
-			mostExcess = excess
-			worst = &Violation{retryBudget, fmt.Sprintf("%s: %d retries of %d requests in the window from %.2fs, the bound is %.0f", service, n, requests, from.Sub(d.startedAt).Seconds(), limit)}
-		}
-	}
-	return worst
-}
-
-// countBetween counts the sorted times from one time, included, until another.
-func countBetween(sorted []time.Time, from, until time.Time) int {
-	first, _ := slices.BinarySearchFunc(sorted, from, time.Time.Compare)
-	end, _ := slices.BinarySearchFunc(sorted, until, time.Time.Compare)
-	return end - first
-}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -78,7 +78,7 @@
 	// disruptions lists the periods of unplanned faults, in which responses may be
 	// interrupted.
 	disruptions []disruption
-	history     history
+	history     observations
 	// cutsFirstRuns, allRefuse and separated report whether the plan contains
 	// CutFirstRuns, AllServersRefuse and GatewaysSeparated.
 	cutsFirstRuns, allRefuse, separated bool
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "soak: create temporary directory")
 	}
-	d := &deployment{opts: o, dir: dir, store: standin.NewStore(), revokedAt: make(map[string]time.Time), startedAt: time.Now(), history: newHistory()}
+	d := &deployment{opts: o, dir: dir, store: standin.NewStore(), revokedAt: make(map[string]time.Time), startedAt: time.Now(), history: newObservations()}
 	contains := func(kind string) bool {
 		return slices.ContainsFunc(plan, func(f Fault) bool { return f.Kind == kind })
 	}
