--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -77,7 +77,7 @@
 	for {
 		chosen, ok := s.chooseServer(req)
 		if !ok {
-			s.finishUnsuccessful(req, fwd, "no_backend_server")
+			s.finishUnsuccessful(req, fwd, s.reasonWithoutServer(req))
 			return
 		}
 		switch d := s.gate(req, fwd, chosen); d.Action {
@@ -229,13 +229,14 @@
 // streams.
 const interruptedStreamReserve = 1
 
-// chooseServer returns the backend server for the next attempt.
+// chooseServer returns the backend server for the next attempt, not one that asked for
+// a pause.
 func (s *Server) chooseServer(req *request) (chosenServer, bool) {
 	usable := s.deps.Directory.Usable(req.service.Name)
 	if len(usable) == 0 {
 		return chosenServer{}, false
 	}
-	choice, ok := s.deps.Scheduler.Choose(s.deps.Clock.Now(), &req.job, s.candidates(req.service.Name, usable), req.excluded)
+	choice, ok := s.deps.Scheduler.Choose(s.deps.Clock.Now(), &req.job, s.candidates(req.service.Name, usable), s.excluded(req, usable))
 	if !ok {
 		return chosenServer{}, false
 	}
@@ -281,7 +282,7 @@
 	if remaining <= 0 {
 		return resultDeadlineExceeded
 	}
-	if !s.deps.Directory.IsUsable(chosen.server) {
+	if !s.deps.Directory.IsUsable(chosen.server) || s.paused(chosen.server) {
 		return resultNotSent
 	}
 	account := ""
@@ -364,6 +365,7 @@
 	if info.LoadKnown {
 		s.deps.Scheduler.ReportLoad(s.deps.Clock.Now(), active.server.ID, info.Running, info.Waiting)
 	}
+	s.applyStatements(active.server, info)
 	if info.NotRun {
 		s.drainBody(ex)
 		return resultNotRun, "the server did not run it"
@@ -381,6 +383,23 @@
 	return result, ""
 }
 
+// applyStatements applies what a backend server states about itself in the head of a
+// response. Attempts in flight go on.
+func (s *Server) applyStatements(server *directory.BackendServer, info ResponseInfo) {
+	for _, field := range info.InvalidFields {
+		s.metrics.ignoredField(field)
+		if s.invalidFields.due(s.deps.Elapsed()) {
+			s.deps.Log.WithFields(logrus.Fields{"event": "response_field_ignored", "server": server.ID, "field": field}).Warn("invalid header field of a backend server ignored")
+		}
+	}
+	if info.Leaving {
+		s.deps.View.MarkLeaving(server)
+	}
+	if info.Pause > 0 {
+		s.recordPause(server, info.Pause)
+	}
+}
+
 // connectionLimit returns the number of connections that this gateway may open
 // to one backend server of the request's service; zero means no limit.
 func (s *Server) connectionLimit(req *request) int {
@@ -454,7 +473,11 @@
 	}
 	switch {
 	case req.runs == 0:
-		s.refuse(req, newRefusal(http.StatusServiceUnavailable, reason).withRetryAfter(s.retryDelay(req)))
+		delay, paused := s.pauseDelay(req)
+		if !paused {
+			delay = s.retryDelay(req)
+		}
+		s.refuse(req, newRefusal(http.StatusServiceUnavailable, reason).withRetryAfter(delay))
 	case reason == "deadline":
 		s.refuse(req, newRefusal(http.StatusGatewayTimeout, reason))
 	default:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/sesameswitch/sesameswitch/ingress"
 	"github.com/sesameswitch/sesameswitch/routes"
 	"github.com/sesameswitch/sesameswitch/routing"
+	"github.com/sesameswitch/sesameswitch/storeera"
 )
 
 // RequestInfo is the metadata of a caller's request, decoded once.
@@ -71,6 +72,14 @@
 	// NotRun reports whether the backend server stated that it did not run the
 	// request.
 	NotRun bool
+	// Leaving reports whether the server stated that it is leaving.
+	Leaving bool
+	// Pause is how long the server wants no requests of this gateway; zero if it did
+	// not state that.
+	Pause time.Duration
+	// InvalidFields names the header fields that were ignored because their value is
+	// not valid.
+	InvalidFields []string
 	// LoadKnown reports whether the response states the server's load: the
 	// numbers of running and waiting requests, and of slots.
 	LoadKnown               bool
@@ -100,8 +109,13 @@
 // Snapshot is the state of the platform's store, limited to the entries that a
 // gateway uses.
 type Snapshot struct {
-	// Revision is the revision of the store when the listing began.
+	// Era is the era that all answers of the listing state.
+	Era storeera.Era
+	// Revision is the revision of the store when the listing began, or an earlier one
+	// if the listing may be stale.
 	Revision uint64
+	// Stale reports whether the registry entries may be seconds old.
+	Stale bool
 	// Table is nil if the store holds no configuration yet.
 	Table *routes.Table
 	// ServerChanges hold one version of each backend server's registry entry.
@@ -112,6 +126,7 @@
 
 // Delta holds the changes of the store after a revision.
 type Delta struct {
+	Era storeera.Era
 	// Revision is the revision up to which the changes are complete.
 	Revision uint64
 	// Tables are the new versions of the configuration in order.
@@ -122,16 +137,37 @@
 	EntryErrors     []error
 }
 
+// ConfigurationRead is the current configuration of the store.
+type ConfigurationRead struct {
+	Era storeera.Era
+	// Table is nil if the store holds no configuration.
+	Table *routes.Table
+}
+
+// AnswerError is the error of a call that the store answered. It carries the era that
+// the answer states.
+type AnswerError struct {
+	Era storeera.Era
+	Err error
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *AnswerError) Unwrap() error { return e.Err }
+
 // Store reads the platform's store. Any call may fail, be refused by the store,
-// or block until its context ends.
+// or block until its context ends. An error of a call that was answered contains an
+// AnswerError.
 type Store interface {
-	// List reads the complete state.
-	List(ctx context.Context) (*Snapshot, error)
+	// List reads the complete state. If stale is true, the registry entries may be
+	// seconds old: such reads are cheap for the store. The configuration never is.
+	List(ctx context.Context, stale bool) (*Snapshot, error)
 	// Watch returns the changes after the revision. If there are none, it
 	// returns an empty Delta after the wait. It fails with ErrCompacted if the
 	// store no longer has all changes after the revision.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*Delta, error)
-	// Configuration reads the current configuration; nil if the store holds
-	// none.
-	Configuration(ctx context.Context) (*routes.Table, error)
+	// Configuration reads the current configuration.
+	Configuration(ctx context.Context) (*ConfigurationRead, error)
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -75,14 +75,20 @@
 type Server struct {
 	deps    Dependencies
 	metrics *gatewayMetrics
-	// mu protects rng, retryBudgets and candidateLists.
+	// mu protects rng, retryBudgets, returns and candidateLists.
 	mu  sync.Mutex
 	rng *rand.Rand
 	// startedAt is when the server was created.
 	startedAt time.Time
 	pauses    *clock.Pauses
+	// invalidFields limits the log lines about invalid header fields.
+	invalidFields logInterval
 	// retryBudgets holds the retry budget of each service.
 	retryBudgets map[string]*retry.WindowBudget
+	// pushback holds which backend servers asked for a pause, returns when the callers
+	// of each service return after one.
+	pushback *retry.Pushback
+	returns  map[string]*retry.Returns
 	// candidateLists holds the last list of candidates of each service.
 	candidateLists map[string]candidateList
 }
@@ -93,6 +99,7 @@
 		deps: deps, metrics: newGatewayMetrics(deps.Metrics), startedAt: deps.Clock.Now(), pauses: clock.NewPauses(deps.Elapsed),
 		rng:          rand.New(rand.NewPCG(deps.Seed, 3)), //nolint:gosec // not for secrets
 		retryBudgets: make(map[string]*retry.WindowBudget), candidateLists: make(map[string]candidateList),
+		pushback: retry.NewPushback(), returns: make(map[string]*retry.Returns),
 	}
 }
 
@@ -204,6 +211,13 @@
 			return refusal
 		}
 	}
+	if req.table.NeedsKey(req.route) && !s.keysConfirmed() {
+		s.deps.View.AwaitListing(ctx)
+		req.table = s.deps.View.Table()
+		if refusal := s.identify(req); refusal != nil {
+			return refusal
+		}
+	}
 	if req.table.NeedsKey(req.route) && !s.keysConfirmed() {
 		return newRefusal(http.StatusServiceUnavailable, "keys_unconfirmed").withRetryAfter(startRetryAfter)
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -13,6 +13,7 @@
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/directory"
 	"github.com/sesameswitch/sesameswitch/routes"
+	"github.com/sesameswitch/sesameswitch/storeera"
 )
 
 // ErrCompacted reports that the store no longer has the history from which a
@@ -77,6 +78,21 @@
 	unavailable    bool
 	// mu serializes the activation of tables.
 	mu sync.Mutex
+	// eraMu guards eras and confirmations: an answer confirms the active configuration
+	// only while its era is the newest.
+	eraMu sync.Mutex
+	eras  storeera.Tracker
+	// ignoredAnswers limits the log lines about ignored answers.
+	ignoredAnswers logInterval
+	// listedEra is the era of the last complete listing. Only Run uses it.
+	listedEra storeera.Era
+	// staleListingFailed reports whether the last listing that might be stale failed: the
+	// next one must not be. Only Run uses it.
+	staleListingFailed bool
+	// eraChanged ends the wait of a watch when another call has seen a newer era.
+	eraChanged chan struct{}
+	// relisted is closed when a newer era is listed completely; nil if none is missing.
+	relisted chan struct{}
 	// refreshes lets concurrent calls of Refresh share one read of the store.
 	refreshes singleflight.Group
 	// refreshFailedAt is when a refresh last failed, in nanoseconds of the clock
@@ -86,16 +102,18 @@
 	// be decoded.
 	newerUnreadable atomic.Bool
 	// onRemoved is called for each backend server that was removed, onActivated
-	// for each table that becomes active.
+	// for each table that becomes active. OnEra, if set before Run, is called with the
+	// era and the verdict of each answer that is not current.
 	onRemoved   func(id string)
 	onActivated func(t *routes.Table)
+	OnEra       func(era storeera.Era, verdict storeera.Verdict)
 	// listed reports whether the directory was listed completely at least once.
 	listed atomic.Bool
 }
 
 // NewView returns an empty view.
 func NewView(store Store, dir *directory.Directory, elapsed clock.Elapsed, maxConfigDelay func() time.Duration, log *logrus.Entry, onRemoved func(string), onActivated func(*routes.Table)) *View {
-	return &View{store: store, directory: dir, elapsed: elapsed, maxConfigDelay: maxConfigDelay, log: log, onRemoved: onRemoved, onActivated: onActivated, unavailable: true}
+	return &View{store: store, directory: dir, elapsed: elapsed, maxConfigDelay: maxConfigDelay, log: log, onRemoved: onRemoved, onActivated: onActivated, unavailable: true, eraChanged: make(chan struct{}, 1)}
 }
 
 // Table returns the active configuration, or nil.
@@ -114,19 +132,17 @@
 // Listed reports whether the directory has been listed completely at least once.
 func (v *View) Listed() bool { return v.listed.Load() }
 
-// confirm records that the active table was the newest at the given time. If a
-// newer table exists that could not be decoded, confirm does nothing, because the
-// keys of that table are unknown.
-func (v *View) confirm(at time.Duration) {
-	if v.newerUnreadable.Load() {
+// confirm records that the active table was the newest at the given time, as an answer
+// of the given era showed, unless a newer era is known meanwhile. If a newer table
+// exists that could not be decoded, confirm does nothing, because the keys of that
+// table are unknown.
+func (v *View) confirm(at time.Duration, era storeera.Era) {
+	v.eraMu.Lock()
+	defer v.eraMu.Unlock()
+	if v.newerUnreadable.Load() || !v.isPresent(era) {
 		return
 	}
-	for {
-		last := v.confirmedAt.Load()
-		if int64(at) <= last || v.confirmedAt.CompareAndSwap(last, int64(at)) {
-			return
-		}
-	}
+	v.confirmedAt.Store(max(v.confirmedAt.Load(), int64(at)))
 }
 
 // activate makes a table the active one if it is newer than the active table.
@@ -163,14 +179,18 @@
 		ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
 		defer cancel()
 		at := v.elapsed()
-		table, err := v.store.Configuration(ctx)
+		read, err := v.store.Configuration(ctx)
+		if err == nil && v.observeEra(read.Era) != storeera.Current {
+			err = errOtherEra
+		}
 		if err != nil {
+			v.observeError(err)
 			v.refreshFailedAt.Store(int64(v.elapsed()))
 			return nil, err
 		}
-		v.activate(table, "refresh")
+		v.activate(read.Table, "refresh")
 		v.newerUnreadable.Store(false)
-		v.confirm(at)
+		v.confirm(at, read.Era)
 		return nil, nil
 	})
 	select {
@@ -205,70 +225,160 @@
 		}
 		if err == nil {
 			backoff = minBackoff
-			clock.Sleep(ctx, start+v.watchInterval()-v.elapsed())
+			v.pause(ctx, start+v.watchInterval()-v.elapsed())
 			continue
 		}
+		v.observeError(err)
 		v.recordFailure(err)
 		clock.Sleep(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-// callStore makes one call to the store: a listing until one has succeeded, then
-// a watch. If the watch fails with ErrCompacted, a listing follows.
+// pause waits for a duration, or until another call has seen a newer era.
+func (v *View) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-v.eraChanged:
+	}
+}
+
+// mustList reports whether a complete listing of the present era is missing.
+func (v *View) mustList() bool {
+	v.eraMu.Lock()
+	defer v.eraMu.Unlock()
+	return !v.listed.Load() || !v.isPresent(v.listedEra)
+}
+
+// callStore makes one call to the store: a listing until one of the present era has
+// succeeded, then a watch. If the watch fails with ErrCompacted or states a newer era,
+// a listing follows.
 func (v *View) callStore(ctx context.Context) error {
-	if !v.listed.Load() {
+	select {
+	case <-v.eraChanged: // mustList tells what has to be done
+	default:
+	}
+	if v.mustList() {
 		return v.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
-	defer cancel()
 	start := v.elapsed()
-	delta, err := v.store.Watch(ctx, v.directory.Revision(), watchWait)
+	delta, err := v.watch(ctx)
 	if errors.Is(err, ErrCompacted) {
-		v.log.WithField("event", "store_compacted").Info("the store compacted the history of the watch; listing again")
+		v.log.WithField("event", "store_compacted").Info("the store no longer has the history of the watch; listing again")
+		v.observeError(err)
 		v.recordResponse()
 		return v.list(ctx)
 	}
 	if err != nil {
+		if v.observeError(err); v.mustList() {
+			return v.list(ctx)
+		}
 		return err
 	}
 	v.recordResponse()
+	switch v.observeEra(delta.Era) {
+	case storeera.Current:
+	case storeera.Newer:
+		return v.list(ctx)
+	default:
+		return errOtherEra
+	}
 	for _, t := range delta.Tables {
 		v.activate(t, "watch")
 	}
 	if len(delta.Tables) > 0 || delta.TableUnreadable {
 		v.newerUnreadable.Store(delta.TableUnreadable)
 	}
-	v.confirm(start)
+	v.confirm(start, delta.Era)
 	v.reportEvents(v.directory.Apply(time.Unix(0, int64(v.elapsed())), delta.ServerChanges, delta.Revision), delta.EntryErrors)
 	return nil
 }
 
+// watch waits for changes of the store. It ends early when another call has seen a
+// newer era.
+func (v *View) watch(ctx context.Context) (*Delta, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
+	defer cancel()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-v.eraChanged:
+			cancel()
+		case <-ended:
+		}
+	}()
+	return v.store.Watch(ctx, v.directory.Revision(), watchWait)
+}
+
 // list reads the complete state of the store.
 func (v *View) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	start := v.elapsed()
-	snapshot, err := v.store.List(ctx)
-	if err != nil {
+	// A fleet that starts at once would exceed the store's rate limit with its listings.
+	// Nothing newer is known then that a stale entry could undo.
+	stale := !v.listed.Load() && !v.staleListingFailed
+	snapshot, err := v.store.List(ctx, stale)
+	if v.staleListingFailed = stale && err != nil; err != nil {
 		return err
 	}
 	v.recordResponse()
+	if verdict := v.observeEra(snapshot.Era); verdict != storeera.Current && verdict != storeera.Newer {
+		return errOtherEra
+	}
 	v.activate(snapshot.Table, "list")
-	if snapshot.Table != nil {
-		v.newerUnreadable.Store(false)
-		v.confirm(start)
+	now := time.Unix(0, int64(v.elapsed()))
+	replace := v.directory.Replace
+	if v.listed.Load() && snapshot.Era != v.listedEra {
+		replace = v.directory.Restore
 	}
-	events, ok := v.directory.Replace(time.Unix(0, int64(v.elapsed())), snapshot.ServerChanges, snapshot.Revision)
+	events, ok := replace(now, snapshot.ServerChanges, snapshot.Revision)
 	if !ok {
 		v.log.WithFields(logrus.Fields{"event": "list_refused", "revision": snapshot.Revision}).Warn("listing older than the directory refused")
 		return errors.New("gateway: the listing is older than the directory")
 	}
+	if snapshot.Stale {
+		if events, err = v.catchUp(ctx, snapshot, events); err != nil {
+			return err
+		}
+	}
 	v.listed.Store(true)
+	v.listedEra = snapshot.Era
+	// A store that was restored may have lost the configuration that is active.
+	if snapshot.Table != nil || v.table.Load() != nil && snapshot.Era.Stated {
+		v.newerUnreadable.Store(false)
+		v.confirm(start, snapshot.Era)
+	}
+	v.endRelisting(snapshot.Era)
 	v.reportEvents(events, snapshot.EntryErrors)
 	return nil
 }
 
+// catchUp reads the changes after a listing that may be stale, and appends the
+// resulting events.
+func (v *View) catchUp(ctx context.Context, snapshot *Snapshot, events []directory.Event) ([]directory.Event, error) {
+	delta, err := v.store.Watch(ctx, snapshot.Revision, 0)
+	if err == nil && v.observeEra(delta.Era) != storeera.Current {
+		err = errOtherEra
+	}
+	if err != nil {
+		v.staleListingFailed = true
+		return nil, err
+	}
+	for _, t := range delta.Tables {
+		v.activate(t, "watch")
+	}
+	if len(delta.Tables) > 0 || delta.TableUnreadable {
+		v.newerUnreadable.Store(delta.TableUnreadable)
+	}
+	snapshot.EntryErrors = append(snapshot.EntryErrors, delta.EntryErrors...)
+	return append(events, v.directory.Apply(time.Unix(0, int64(v.elapsed())), delta.ServerChanges, delta.Revision)...), nil
+}
+
 // recordResponse records that the store responded. It notifies the directory if
 // the response ends an outage.
 func (v *View) recordResponse() {
@@ -315,6 +425,17 @@
 	}
 }
 
+// MarkLeaving records that a backend server has stated in a response that it is
+// leaving.
+func (v *View) MarkLeaving(s *directory.BackendServer) {
+	event, changed := v.directory.MarkLeaving(time.Unix(0, int64(v.elapsed())), s)
+	if !changed {
+		return
+	}
+	v.log.WithFields(logrus.Fields{"event": "backend_leaving", "server": s.ID, "service": s.Service, "address": s.Address, "age_ms": 0}).Info("backend server states that it is leaving")
+	v.reportEvents([]directory.Event{event}, nil)
+}
+
 // Sweep periodically removes entries with expired leases until the context ends.
 func (v *View) Sweep(ctx context.Context) {
 	clock.Every(ctx, sweepInterval, func() {
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -19,9 +19,11 @@
 	watched  chan struct{}
 }
 
-func (s *renewingStore) Configuration(context.Context) (*routes.Table, error) { return nil, nil }
+func (s *renewingStore) Configuration(context.Context) (*ConfigurationRead, error) {
+	return &ConfigurationRead{}, nil
+}
 
-func (s *renewingStore) List(context.Context) (*Snapshot, error) {
+func (s *renewingStore) List(context.Context, bool) (*Snapshot, error) {
 	s.calls.Add(1)
 	return &Snapshot{Revision: s.revision.Load()}, nil
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -5,10 +5,11 @@
 	"fmt"
 	"net/http"
 	"os"
-	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/sesameswitch/sesameswitch/history"
 )
 
 // Guarantees that are checked, as reports name them.
@@ -21,6 +22,8 @@
 	validRequestAccepted  = "a valid request is not refused"
 	revokedKeyUnused      = "a revoked key runs no request"
 	correctAccount        = "a request runs for the account of its key"
+	pausedServerUnused    = "a server that asks for a pause receives at most two requests in it"
+	leavingServerUnused   = "a server that states that it is leaving receives no new request"
 	drainedServerUnused   = "a draining backend server receives no new request"
 	noPlannedInterruption = "planned maintenance interrupts no request"
 	versionMonotonic      = "the configuration version never decreases"
@@ -46,11 +49,15 @@
 	// gateway must remove. refused is true if the server refused the request without
 	// running it.
 	hasKey, refused bool
+	// statesLeaving is true if the response stated that the server is leaving.
+	statesLeaving bool
+	// pause is how long the server asked the gateway to send nothing; zero if it did not.
+	pause time.Duration
 }
 
-// history records what callers and backend servers observed. Its methods are safe
+// observations is what callers and backend servers observed. Its methods are safe
 // for concurrent use.
-type history struct {
+type observations struct {
 	mu    *sync.Mutex
 	calls []*call
 	// received maps the ID of each request to what backend servers received.
@@ -62,11 +69,11 @@
 	keepLogs bool
 }
 
-func newHistory() history {
-	return history{mu: &sync.Mutex{}, received: make(map[string][]receivedRequest)}
+func newObservations() observations {
+	return observations{mu: &sync.Mutex{}, received: make(map[string][]receivedRequest)}
 }
 
-func (h *history) addCall(c *call) {
+func (h *observations) addCall(c *call) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.calls = append(h.calls, c)
@@ -74,7 +81,7 @@
 
 // addReceived records a request that a server received, and reports whether it is
 // the first run of the request.
-func (h *history) addReceived(id string, r receivedRequest) (firstRun bool) {
+func (h *observations) addReceived(id string, r receivedRequest) (firstRun bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	firstRun = !r.refused && countRuns(h.received[id]) == 0
@@ -84,7 +91,7 @@
 
 // addFailure records the error of a step of the test itself, unless err is nil.
 // step says what the process or server should have done, for example "starts".
-func (h *history) addFailure(step string, err error) {
+func (h *observations) addFailure(step string, err error) {
 	if err == nil {
 		return
 	}
@@ -130,6 +137,8 @@
 	}
 	found = append(found, d.checkVersions()...)
 	found = append(found, d.checkRetryBudget()...)
+	found = append(found, d.checkLeaving()...)
+	found = append(found, d.checkPauses()...)
 	h.keepLogs = len(found) > 0
 	if h.keepLogs {
 		// Not a violation; shows where the logs are.
@@ -259,6 +268,68 @@
 	return found
 }
 
+// checkLeaving checks that no gateway sends a request to a server if the caller sent it
+// later than drainPeriod after the gateway had passed on a response in which the server
+// stated that it is leaving.
+func (d *deployment) checkLeaving() []Violation {
+	type pair struct{ gateway, server string }
+	statedAt := make(map[pair]time.Time)
+	for _, c := range d.history.calls {
+		for _, r := range d.history.received[c.id] {
+			known, found := statedAt[pair{c.gateway, r.server}]
+			if r.statesLeaving && c.err == nil && (!found || c.endedAt.Before(known)) {
+				statedAt[pair{c.gateway, r.server}] = c.endedAt
+			}
+		}
+	}
+	var found []Violation
+	for _, c := range d.history.calls {
+		for _, r := range d.history.received[c.id] {
+			if at, stated := statedAt[pair{c.gateway, r.server}]; stated && c.startedAt.After(at.Add(drainPeriod)) {
+				found = append(found, Violation{leavingServerUnused, fmt.Sprintf("%s by %s arrived at %s, sent %v after a response with the statement", c.id, c.gateway, r.server, c.startedAt.Sub(at))})
+			}
+		}
+	}
+	return found
+}
+
+const (
+	// pauseReactionTime is how long after a server asked for a pause requests may still
+	// arrive.
+	pauseReactionTime = 500 * time.Millisecond
+	// maxRequestsInPause is how many may arrive from one gateway after it.
+	maxRequestsInPause = 2
+)
+
+// checkPauses checks that a server that asked a gateway for a pause receives at most
+// maxRequestsInPause requests from it between pauseReactionTime after it asked and the
+// end of the pause.
+func (d *deployment) checkPauses() []Violation {
+	type pair struct{ gateway, server string }
+	received := make(map[pair][]receivedRequest)
+	for _, c := range d.history.calls {
+		for _, r := range d.history.received[c.id] {
+			p := pair{c.gateway, r.server}
+			received[p] = append(received[p], r)
+		}
+	}
+	var found []Violation
+	for p, requests := range received {
+		for _, asked := range requests {
+			n := 0
+			for _, r := range requests {
+				if r.receivedAt.After(asked.receivedAt.Add(pauseReactionTime)) && r.receivedAt.Before(asked.receivedAt.Add(asked.pause)) {
+					n++
+				}
+			}
+			if n > maxRequestsInPause {
+				found = append(found, Violation{pausedServerUnused, fmt.Sprintf("%s received %d requests of %s in a pause of %v from %.2fs", p.server, n, p.gateway, asked.pause, asked.receivedAt.Sub(d.startedAt).Seconds())})
+			}
+		}
+	}
+	return found
+}
+
 // retryWindow is the window of the retry budget.
 const retryWindow = 10 * time.Second
 
@@ -279,39 +350,12 @@
 			retries[service] = append(retries[service], received[i].receivedAt)
 		}
 	}
+	budget := history.RetryBudget{Ratio: retryRatio, Extra: d.opts.RetryExtra, Window: retryWindow}
 	var found []Violation
 	for service, times := range retries {
-		if v := d.worstRetryWindow(service, calls[service], times); v != nil {
-			found = append(found, *v)
+		if worst, exceeded := budget.WorstWindow(calls[service], times, d.startedAt); exceeded {
+			found = append(found, Violation{retryBudget, service + ": " + worst})
 		}
 	}
 	return found
 }
-
-// worstRetryWindow returns the violation of the window with the most retries beyond
-// the bound, or nil if no window has more than the bound.
-func (d *deployment) worstRetryWindow(service string, calls, retries []time.Time) *Violation {
-	slices.SortFunc(calls, time.Time.Compare)
-	slices.SortFunc(retries, time.Time.Compare)
-	var worst *Violation
-	mostExcess := 0.0
-	for _, from := range retries {
-		n, requests := countBetween(retries, from, from.Add(retryWindow)), 0
-		for _, earlier := range []time.Duration{0, retryWindow / 2, retryWindow} {
-			requests = max(requests, countBetween(calls, from.Add(-earlier), from.Add(retryWindow-earlier)))
-		}
-		limit := retryRatio*float64(requests) + float64(d.opts.RetryExtra)
-		if excess := float64(n) - limit; excess > mostExcess {
-			mostExcess = excess
-			worst = &Violation{retryBudget, fmt.Sprintf("%s: %d retries of %d requests in the window from %.2fs, the bound is %.0f", service, n, requests, from.Sub(d.startedAt).Seconds(), limit)}
-		}
-	}
-	return worst
-}
-
-// countBetween counts the sorted times from one time, included, until another.
-func countBetween(sorted []time.Time, from, until time.Time) int {
-	first, _ := slices.BinarySearchFunc(sorted, from, time.Time.Compare)
-	end, _ := slices.BinarySearchFunc(sorted, until, time.Time.Compare)
-	return end - first
-}
--- a/soak/server.go
+++ b/soak/server.go
@@ -18,6 +18,9 @@
 	// exceeds drainPeriod plus maxRecordingDelay, so that requests that arrive too
 	// late are detected.
 	drainListenTime = drainPeriod + 1500*time.Millisecond
+	// minAskedPause and maxAskedPause bound the pause that a server asks for.
+	minAskedPause = 300 * time.Millisecond
+	maxAskedPause = 6 * time.Second
 )
 
 // server is a simulated backend server behind a link that faults can impair.
@@ -33,6 +36,10 @@
 	activeFault string
 	// drainingSince is when the server started to drain, or zero.
 	drainingSince time.Time
+	// leaving reports whether its responses state that it is leaving.
+	leaving bool
+	// left reports whether its entry was removed.
+	left bool
 }
 
 // addServer starts a backend server of a service and registers it.
@@ -55,13 +62,35 @@
 	d.mu.Lock()
 	d.servers = append(d.servers, s)
 	d.mu.Unlock()
-	d.register(s, "ready")
+	d.register(s)
 	return nil
 }
 
-// register writes the registry entry of a server, with the address of its link, in
-// the given state.
-func (d *deployment) register(s *server, state string) {
+// registeredState returns the state in the registry entry of the server; empty if the
+// entry was removed.
+func (s *server) registeredState() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.left:
+		return ""
+	case !s.drainingSince.IsZero():
+		return "draining"
+	default:
+		return "ready"
+	}
+}
+
+// register writes the registry entry of a server, with the address of its link, or
+// removes it if the server has left.
+func (d *deployment) register(s *server) {
+	d.registryMu.Lock()
+	defer d.registryMu.Unlock()
+	state := s.registeredState()
+	if state == "" {
+		d.store.Remove("servers/" + s.ID)
+		return
+	}
 	entry := strings.Replace(string(s.RegistryEntry(s.service, "zone-a", state)), s.Address(), s.link.Address(), 1)
 	d.store.Put("servers/"+s.ID, []byte(entry))
 }
@@ -110,6 +139,8 @@
 		d.disrupt(f, func() { s.link.SetState(linkState) }, func() { s.link.SetState(testbed.LinkOpen) })
 	case ServerDrains:
 		d.drainServer(s)
+	case ServerLeaves:
+		d.leave(s, f.Variant%2 == 0)
 	default:
 		d.disrupt(f, func() { set(f.Kind) }, func() { set("") })
 	}
@@ -120,18 +151,43 @@
 // draining.
 func (d *deployment) drainServer(s *server) {
 	s.mu.Lock()
-	draining := !s.drainingSince.IsZero()
+	going := s.leaving || s.left || !s.drainingSince.IsZero()
 	s.mu.Unlock()
-	if draining {
+	if going {
 		return
 	}
-	d.register(s, "draining")
 	s.mu.Lock()
 	s.drainingSince = time.Now()
 	s.mu.Unlock()
+	d.register(s)
+	d.history.addFailure("backend server starts", d.addServer(s.service))
+	time.Sleep(drainListenTime)
+	s.mu.Lock()
+	s.left = true
+	s.mu.Unlock()
+	d.register(s)
+	s.close()
+}
+
+// leave starts a replacement of a server and lets its responses state that it is
+// leaving. Its entry is removed at the same time, or still says that it is ready until
+// it closes. It does nothing if the server is already going.
+func (d *deployment) leave(s *server, removeEntry bool) {
+	s.mu.Lock()
+	going := s.leaving || s.left || !s.drainingSince.IsZero()
+	s.leaving, s.left = true, s.left || removeEntry
+	s.mu.Unlock()
+	if going {
+		return
+	}
 	d.history.addFailure("backend server starts", d.addServer(s.service))
+	s.SetHeaderLines("Server-Leaving: 1")
+	d.register(s)
 	time.Sleep(drainListenTime)
-	d.store.Remove("servers/" + s.ID)
+	s.mu.Lock()
+	s.left = true
+	s.mu.Unlock()
+	d.register(s)
 	s.close()
 }
 
@@ -144,10 +200,17 @@
 	}
 	r := receivedRequest{
 		server: s.ID, service: s.service, receivedAt: time.Now(), drainingSince: drainingSince, account: e.Tenant(), hasKey: e.HasKey(),
-		refused: activeFault == ServerRefuses || e.ExpectedReplica() != s.ID,
+		refused: activeFault == ServerRefuses || e.ExpectedReplica() != s.ID, statesLeaving: e.HasHeaderLines(),
+	}
+	if activeFault == ServerAsksPause && !r.refused {
+		r.refused, r.pause = true, minAskedPause+time.Duration(rand.Int64N(int64(maxAskedPause-minAskedPause)))
 	}
 	id := e.RequestID()
 	firstRun := d.history.addReceived(id, r)
+	if r.pause > 0 {
+		e.Refuse(503, fmt.Sprintf("Retry-After: %.3f", r.pause.Seconds()))
+		return true
+	}
 	if r.refused {
 		// Status 421 refuses a request that was sent to another replica.
 		e.Refuse(map[bool]int{true: 503, false: 421}[activeFault == ServerRefuses])
