Keep new connections open when idle ones are closed late in a drain

Cause, from the gateway's log: the state 'refusing' (07:37:34.586 to 35.291), in which connections that wait for a request are closed each 50 ms; the request came at about 34.9. A connection counted as waiting from the moment that it was accepted, so that it was closed while its first request was under way.

Why it works: only connections that have carried a request are closed; their callers expect that a kept connection may end, and repeat a request that was not read.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -60,7 +60,8 @@
 	server *Server
 	nc     net.Conn
 	br     *bufio.Reader
-	// idle is true while the connection waits for the first byte of a request.
+	// idle is true while the connection waits for the first byte of a request after its
+	// first one.
 	idle atomic.Bool
 }
 
@@ -100,7 +101,7 @@
 		timeout = max(limits.HeaderTimeout, limits.IdleTimeout)
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(timeout)) // fails only on a closed connection
-	c.idle.Store(c.br.Buffered() == 0)
+	c.idle.Store(!first && c.br.Buffered() == 0)
 	_, err := c.br.Peek(1)
 	c.idle.Store(false)
 	return err == nil
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -125,7 +125,8 @@
 	delete(s.conns, c)
 }
 
-// CloseIdle closes the connections that are waiting for a request.
+// CloseIdle closes the connections that are waiting for a further request. The caller of
+// a new connection does not expect that and may have sent its first request.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
