--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -46,7 +46,7 @@
 		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
 			return err
 		}
-		_, err := http.ReadResponse(br, nil) //nolint:bodyclose // the response has no body
+		_, err := http.ReadResponse(br, nil)
 		return err
 	}
 	if err := exchange(); err != nil {
