Let a gateway without a share retry only what its requests pay for

A share below one counted as one: with no extra retries configured, with more gateways than extra retries, or at a gateway that has reached no other one, the sum over all gateways exceeded the budget by up to one retry for each of them.

Why it works: for the window that ends with the retry the true share counts; in shorter periods one retry is allowed still, since a share below one would allow none.

--- a/retry/window.go
+++ b/retry/window.go
@@ -64,7 +64,7 @@
 	// Requests and Retries are what this gateway counted in the window, Reserved the
 	// retries that are not sent yet, without the retry that is decided.
 	Requests, Retries, Reserved int
-	// Share is this gateway's share of the extra retries.
+	// Share is this gateway's share of the extra retries, at least one.
 	Share float64
 	// FirstWindow reports whether the process started within the window.
 	FirstWindow bool
@@ -79,10 +79,11 @@
 // requests of the buckets after it. A reserved retry may be sent at any time, so it
 // counts in each period.
 func (b *WindowBudget) decision(gateways int) WindowDecision {
-	d := WindowDecision{Share: 1, Reserved: b.reserved}
+	share := 0.0
 	if gateways > 0 {
-		d.Share = max(d.Share, b.extra/float64(gateways))
+		share = b.extra / float64(gateways)
 	}
+	d := WindowDecision{Share: max(1, share), Reserved: b.reserved}
 	d.Remaining = d.Share
 	for i := range b.requests {
 		d.Retries += b.retries[i]
@@ -90,8 +91,9 @@
 		d.Requests += b.requests[i]
 	}
 	if d.FirstWindow = b.newest-b.bucketOf(b.startedAt) <= windowBuckets; d.FirstWindow {
-		d.Remaining = min(d.Remaining, b.ratio*float64(d.Requests)-float64(d.Retries+d.Reserved))
+		share = 0
 	}
+	d.Remaining = min(d.Remaining, b.ratio*float64(d.Requests)+share-float64(d.Retries+d.Reserved))
 	return d
 }
 
