Revert the listing with reads that the store's rate limit does not count

Suspected now, by arithmetic: each gateway gets 354 KB/s, which for some 350 gateways is the store's link of 1,000 Mbit/s; all of them get each renewal of 10,002 entries.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,11 +111,8 @@
 type Snapshot struct {
 	// Era is the era that all answers of the listing state.
 	Era storeera.Era
-	// Revision is the revision of the store when the listing began, or an earlier one
-	// if the listing may be stale.
+	// Revision is the revision of the store when the listing began.
 	Revision uint64
-	// Stale reports whether the registry entries may be seconds old.
-	Stale bool
 	// Table is nil if the store holds no configuration yet.
 	Table *routes.Table
 	// ServerChanges hold one version of each backend server's registry entry.
@@ -161,9 +158,8 @@
 // or block until its context ends. An error of a call that was answered contains an
 // AnswerError.
 type Store interface {
-	// List reads the complete state. If stale is true, the registry entries may be
-	// seconds old: such reads are cheap for the store. The configuration never is.
-	List(ctx context.Context, stale bool) (*Snapshot, error)
+	// List reads the complete state.
+	List(ctx context.Context) (*Snapshot, error)
 	// Watch returns the changes after the revision. If there are none, it
 	// returns an empty Delta after the wait. It fails with ErrCompacted if the
 	// store no longer has all changes after the revision.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -86,9 +86,6 @@
 	ignoredAnswers logInterval
 	// listedEra is the era of the last complete listing. Only Run uses it.
 	listedEra storeera.Era
-	// staleListingFailed reports whether the last listing that might be stale failed: the
-	// next one must not be. Only Run uses it.
-	staleListingFailed bool
 	// eraChanged ends the wait of a watch when another call has seen a newer era.
 	eraChanged chan struct{}
 	// relisted is closed when a newer era is listed completely; nil if none is missing.
@@ -319,11 +316,8 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	start := v.elapsed()
-	// A fleet that starts at once would exceed the store's rate limit with its listings.
-	// Nothing newer is known then that a stale entry could undo.
-	stale := !v.listed.Load() && !v.staleListingFailed
-	snapshot, err := v.store.List(ctx, stale)
-	if v.staleListingFailed = stale && err != nil; err != nil {
+	snapshot, err := v.store.List(ctx)
+	if err != nil {
 		return err
 	}
 	v.recordResponse()
@@ -341,11 +335,6 @@
 		v.log.WithFields(logrus.Fields{"event": "list_refused", "revision": snapshot.Revision}).Warn("listing older than the directory refused")
 		return errors.New("gateway: the listing is older than the directory")
 	}
-	if snapshot.Stale {
-		if events, err = v.catchUp(ctx, snapshot, events); err != nil {
-			return err
-		}
-	}
 	v.listed.Store(true)
 	v.listedEra = snapshot.Era
 	// A store that was restored may have lost the configuration that is active.
@@ -358,27 +347,6 @@
 	return nil
 }
 
-// catchUp reads the changes after a listing that may be stale, and appends the
-// resulting events.
-func (v *View) catchUp(ctx context.Context, snapshot *Snapshot, events []directory.Event) ([]directory.Event, error) {
-	delta, err := v.store.Watch(ctx, snapshot.Revision, 0)
-	if err == nil && v.observeEra(delta.Era) != storeera.Current {
-		err = errOtherEra
-	}
-	if err != nil {
-		v.staleListingFailed = true
-		return nil, err
-	}
-	for _, t := range delta.Tables {
-		v.activate(t, "watch")
-	}
-	if len(delta.Tables) > 0 || delta.TableUnreadable {
-		v.newerUnreadable.Store(delta.TableUnreadable)
-	}
-	snapshot.EntryErrors = append(snapshot.EntryErrors, delta.EntryErrors...)
-	return append(events, v.directory.Apply(time.Unix(0, int64(v.elapsed())), delta.ServerChanges, delta.Revision)...), nil
-}
-
 // recordResponse records that the store responded. It notifies the directory if
 // the response ends an outage.
 func (v *View) recordResponse() {
--- a/gateway/view_era_test.go
+++ b/gateway/view_era_test.go
@@ -104,7 +104,7 @@
 	return c
 }
 
-func (s *modelStore) List(context.Context, bool) (*Snapshot, error) {
+func (s *modelStore) List(context.Context) (*Snapshot, error) {
 	state, era := s.answer()
 	snapshot := &Snapshot{Era: era, Revision: state.revision, Table: modelTable(state.version)}
 	for id, revision := range state.servers {
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -23,7 +23,7 @@
 	return &ConfigurationRead{}, nil
 }
 
-func (s *renewingStore) List(context.Context, bool) (*Snapshot, error) {
+func (s *renewingStore) List(context.Context) (*Snapshot, error) {
 	s.calls.Add(1)
 	return &Snapshot{Revision: s.revision.Load()}, nil
 }
