Count the era of a failed watch once

Found while reading: the era in the error of a watch was observed in callStore and again in Run, so that two answers that state an era far ahead were enough where three are asked for.

--- a/gateway/view.go
+++ b/gateway/view.go
@@ -270,9 +270,6 @@
 		return v.list(ctx)
 	}
 	if err != nil {
-		if v.observeError(err); v.mustList() {
-			return v.list(ctx)
-		}
 		return err
 	}
 	v.recordResponse()
