--- a/directory/directory.go
+++ b/directory/directory.go
@@ -55,8 +55,8 @@
 }
 
 const (
-	// removedHold is how long a removed incarnation is remembered. A copy from which the
-	// store is restored is some seconds old.
+	// removedHold is how long a removed incarnation is remembered. A backup from which
+	// the store is restored is expected to be more recent.
 	removedHold = 10 * time.Minute
 	// maxRemoved limits the remembered incarnations.
 	maxRemoved = 4096
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,8 +74,8 @@
 	NotRun bool
 	// Leaving reports whether the server stated that it is leaving.
 	Leaving bool
-	// Pause is how long the server wants no requests of this gateway; zero if it did
-	// not state that.
+	// Pause is how long the server asked this gateway to send nothing; zero if it did
+	// not ask.
 	Pause time.Duration
 	// InvalidFields names the header fields that were ignored because their value is
 	// not valid.
--- a/gateway/sharing.go
+++ b/gateway/sharing.go
@@ -48,7 +48,9 @@
 func (p *Peers) Sharing() (gateways int, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	gateways, known = p.ownCount(), len(p.sharing) > 0 || !slices.ContainsFunc(p.seeds, func(seed string) bool { return seed != p.address })
+	hasOtherSeed := slices.ContainsFunc(p.seeds, func(seed string) bool { return seed != p.address })
+	known = len(p.sharing) > 0 || !hasOtherSeed
+	gateways = p.ownCount()
 	for _, r := range p.sharing {
 		gateways = max(gateways, r.reported)
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -99,11 +99,12 @@
 	// be decoded.
 	newerUnreadable atomic.Bool
 	// onRemoved is called for each backend server that was removed, onActivated
-	// for each table that becomes active. OnEra, if set before Run, is called with the
-	// era and the verdict of each answer that is not current.
+	// for each table that becomes active.
 	onRemoved   func(id string)
 	onActivated func(t *routes.Table)
-	OnEra       func(era storeera.Era, verdict storeera.Verdict)
+	// OnEra, if set before Run, is called with the era and the verdict of each answer
+	// of the store that is not current.
+	OnEra func(era storeera.Era, verdict storeera.Verdict)
 	// listed reports whether the directory was listed completely at least once.
 	listed atomic.Bool
 }
--- a/storeera/storeera.go
+++ b/storeera/storeera.go
@@ -1,5 +1,5 @@
 // Package storeera decides which answers of the platform's store describe its present
-// state. A store that was restored from a copy gives out revisions again; its era, a
+// state. A store that was restored from a backup reuses revision numbers; its era, a
 // number in each answer, rises with each restore. It does no I/O.
 //
 // Callers may assume that the era of a Tracker never falls, and that an answer counts as
