--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,6 +1,11 @@
-// Package retry decides whether a request is retried. It contains retry budgets and
-// a circuit breaker. It does no I/O; the time is passed in. Types are not safe for
+// Package retry decides whether a request is retried, and when a server that refuses
+// may be asked again. It does no I/O; the time is passed in. Types are not safe for
 // concurrent use unless documented otherwise.
+//
+// Each type answers a load: Budget and Breaker servers that fail under callers who
+// repeat at once; WindowBudget a service that refuses nearly everything at many
+// gateways, while some of them restart, pause or are partitioned; Pushback and Returns
+// servers that shed load and callers who would all return at the same moment.
 package retry
 
 import (
