Log what gateways know of the limits that backend servers state

Observability for the incident in which two backend servers got more requests than the limit that they had named. Logs and metrics could not tell whether a gateway had read a limit, nor when a request that was chosen was really sent.

Server-Limit is decoded and its changes are logged and counted; attempt_ended has the time at which the request began to be written; sesamectl incident counts the requests to each limited server over all gateways. No decision uses any of it yet.

Tests: go test ./limit ./platform ./decisionlog ./ctl ./gateway passed.

--- a/ctl/decisions.go
+++ b/ctl/decisions.go
@@ -109,18 +109,22 @@
 	Most  int       `default:"20" help:"Maximum number of rows of each table."`
 	// RetryWindow is the window of the retry budget.
 	RetryWindow time.Duration `default:"10s" help:"Length of the time window for which the retry budget holds."`
+	// LimitWindow is the window of the limits that backend servers state.
+	LimitWindow time.Duration `default:"4s" help:"Length of the time window in which the requests to a backend server that states a limit are counted."`
 }
 
 // incidentReport is the JSON output of Incident. The windows cover the entire log.
 type incidentReport struct {
 	*decisionlog.Summary
-	BusiestRetryWindows []decisionlog.RetryWindow
+	BusiestRetryWindows   []decisionlog.RetryWindow
+	BusiestLimitedWindows []decisionlog.ServerLimitWindow
 }
 
 // Run prints how often each outcome of requests occurred by route, each result of
 // attempts by backend server, and each change of observed state within the window,
-// most frequent first; and for each service the retry window with the most retries of
-// the entire log.
+// most frequent first; and of the entire log, for each service the retry window with the
+// most retries, and for each backend server that stated a limit the window with the
+// most requests.
 func (i *Incident) Run(out *Output) error {
 	log, err := i.read()
 	if err != nil {
@@ -128,8 +132,9 @@
 	}
 	summary := log.Summarize(i.From, i.Until)
 	busiest := log.BusiestRetryWindows(i.RetryWindow)
+	limited := log.BusiestLimitedWindows(i.LimitWindow)
 	if out.Format == FormatJSON {
-		return out.json(incidentReport{summary, busiest})
+		return out.json(incidentReport{summary, busiest, limited})
 	}
 	out.printf("%d lines, %d dropped by the processes\n", summary.Lines, summary.Dropped)
 	for _, table := range []struct {
@@ -142,10 +147,23 @@
 		}
 	}
 	printRetryWindows(out, busiest[:min(len(busiest), i.Most)])
+	printLimitedWindows(out, limited[:min(len(limited), i.Most)])
 	printUnreadable(out, log)
 	return nil
 }
 
+// printLimitedWindows prints the windows with the most requests to backend servers that
+// stated a limit, with what each gateway sent in them.
+func printLimitedWindows(out *Output, windows []decisionlog.ServerLimitWindow) {
+	out.printf("most requests in one window to a backend server that stated a limit\n")
+	for _, w := range windows {
+		out.printf("  %6d  %s from %s to %s, limit %g to %g per second\n", w.Requests, w.Server, w.From.UTC().Format("15:04:05.000"), w.Until.UTC().Format("15:04:05.000"), w.LowestLimit, w.HighestLimit)
+		for _, g := range w.Gateways {
+			out.printf("          %d by %s\n", g.Requests, g.VM)
+		}
+	}
+}
+
 // printRetryWindows prints the windows with the most retries, with what each gateway
 // did in them.
 func printRetryWindows(out *Output, windows []decisionlog.RetryWindow) {
--- a/decisionlog/retries.go
+++ b/decisionlog/retries.go
@@ -80,16 +80,7 @@
 	}
 	var windows []RetryWindow
 	for service, attempts := range byService {
-		first, last, from := 0, 0, 0
-		for i := range attempts {
-			for attempts[i].at.Sub(attempts[from].at) >= length {
-				from++
-			}
-			if i-from > last-first {
-				first, last = from, i
-			}
-		}
-		busiest := attempts[first : last+1]
+		busiest := busiestWindow(attempts, length)
 		windows = append(windows, RetryWindow{
 			Service: service, From: busiest[0].at, Until: busiest[len(busiest)-1].at,
 			Retries: len(busiest), Gateways: l.gatewayRetries(service, busiest),
@@ -99,6 +90,21 @@
 	return windows
 }
 
+// busiestWindow returns the attempts of the window of the given length that has most
+// of them. The attempts are ordered by time, and there is at least one.
+func busiestWindow(attempts []sentAttempt, length time.Duration) []sentAttempt {
+	first, last, from := 0, 0, 0
+	for i := range attempts {
+		for attempts[i].at.Sub(attempts[from].at) >= length {
+			from++
+		}
+		if i-from > last-first {
+			first, last = from, i
+		}
+	}
+	return attempts[first : last+1]
+}
+
 // gatewayRetries returns what each gateway did and knew while the given retries of
 // a service were sent, sorted by gateway.
 func (l *Log) gatewayRetries(service string, retries []sentAttempt) []GatewayRetries {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -298,12 +298,16 @@
 		"resume_after": info.ResumeAfter, "fetch_from": chosen.choice.TransferSource, "sends": req.attempts,
 	}).Info("attempt sent to backend server")
 	tracker := s.deps.Scheduler.StartAttempt(sentAt, &req.job, chosen.server.ID, chosen.choice)
-	result, cause := s.exchange(ctx, req, fwd, &activeAttempt{chosenServer: chosen, info: info, tracker: tracker})
+	active := &activeAttempt{chosenServer: chosen, info: info, tracker: tracker}
+	result, cause := s.exchange(ctx, req, fwd, active)
 	tracker.Ended(s.deps.Clock.Now(), schedulerResult(result, fwd))
 	fields := logrus.Fields{
 		"event": "attempt_ended", "server": chosen.server.ID, "result": resultNames[result], "status": fwd.status,
 		"took_ms": s.deps.Clock.Now().Sub(sentAt).Milliseconds(), "events": fwd.events(), "first_ms": fwd.firstByteAfter.Milliseconds(),
 	}
+	if !active.writtenAt.IsZero() {
+		fields["written_ms"] = active.writtenAt.Sub(sentAt).Milliseconds()
+	}
 	if cause != "" {
 		fields["cause"] = cause
 	}
@@ -337,6 +341,8 @@
 	chosenServer
 	info    *AttemptInfo
 	tracker *routing.Attempt
+	// writtenAt is when the request began to be written; zero if it was not.
+	writtenAt time.Time
 }
 
 // exchange sends the request of an attempt and forwards its response. It also
@@ -350,7 +356,10 @@
 		Head: s.deps.Codec.EncodeHead(req.in, req.RequestInfo, active.server.Address, active.info), Body: req.in.Body,
 		MaxConnections: s.connectionLimit(req),
 		MatchesRequest: func(h http.Header) bool { return s.deps.Codec.Matches(requestInfo, h) },
-		OnSend:         func() { s.useRetry(req) },
+		OnSend: func() {
+			active.writtenAt = s.deps.Clock.Now()
+			s.useRetry(req)
+		},
 	})
 	if err != nil {
 		if !upstream.NotSent(err) {
@@ -365,7 +374,7 @@
 	if info.LoadKnown {
 		s.deps.Scheduler.ReportLoad(s.deps.Clock.Now(), active.server.ID, info.Running, info.Waiting)
 	}
-	s.applyStatements(active.server, info)
+	s.applyStatements(active, info)
 	if info.NotRun {
 		s.drainBody(ex)
 		return resultNotRun, "the server did not run it"
@@ -385,7 +394,8 @@
 
 // applyStatements applies what a backend server states about itself in the head of a
 // response. Attempts in flight go on.
-func (s *Server) applyStatements(server *directory.BackendServer, info ResponseInfo) {
+func (s *Server) applyStatements(active *activeAttempt, info ResponseInfo) {
+	server := active.server
 	for _, field := range info.InvalidFields {
 		s.metrics.ignoredField(field)
 		if s.invalidFields.due(s.deps.Elapsed()) {
@@ -398,6 +408,7 @@
 	if info.Pause > 0 {
 		s.recordPause(server, info.Pause)
 	}
+	s.recordLimit(active, info)
 }
 
 // connectionLimit returns the number of connections that this gateway may open
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,12 @@
 	// Pause is how long the server asked this gateway to send nothing; zero if it did
 	// not ask.
 	Pause time.Duration
+	// LimitStated reports whether the server limits the rate of requests that it takes
+	// from all gateways together, Limit is that rate in requests per second.
+	LimitStated bool
+	Limit       float64
+	// LimitInvalid reports whether the stated limit was ignored because it is not valid.
+	LimitInvalid bool
 	// InvalidFields names the header fields that were ignored because their value is
 	// not valid.
 	InvalidFields []string
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,7 @@
 	noCapacity          gometrics.Counter
 	pauses              gometrics.Counter
 	pushbacks           gometrics.Counter
+	limitChanges        gometrics.Counter
 }
 
 func newGatewayMetrics(registry *telemetry.Metrics) *gatewayMetrics {
@@ -28,6 +29,7 @@
 		callersDisconnected: registry.Counter("sesame_gateway_callers_gone_total"),
 		noCapacity:          registry.Counter("sesame_gateway_turned_away_total"),
 		pushbacks:           registry.Counter("sesame_gateway_backend_pauses_total"),
+		limitChanges:        registry.Counter("sesame_gateway_backend_limit_changes_total"),
 		pauses:              registry.Counter("sesame_gateway_pauses_total"),
 		truncatedResponses:  registry.Counter("sesame_gateway_answers_cut_total"),
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -14,6 +14,7 @@
 	"github.com/sesameswitch/sesameswitch/directory"
 	"github.com/sesameswitch/sesameswitch/ingress"
 	"github.com/sesameswitch/sesameswitch/internal/mutation"
+	"github.com/sesameswitch/sesameswitch/limit"
 	"github.com/sesameswitch/sesameswitch/retry"
 	"github.com/sesameswitch/sesameswitch/routes"
 	"github.com/sesameswitch/sesameswitch/routing"
@@ -89,6 +90,8 @@
 	// of each service return after one.
 	pushback *retry.Pushback
 	returns  map[string]*retry.Returns
+	// limits holds the rates to which backend servers limit all gateways.
+	limits *limit.Servers
 	// candidateLists holds the last list of candidates of each service.
 	candidateLists map[string]candidateList
 }
@@ -99,7 +102,7 @@
 		deps: deps, metrics: newGatewayMetrics(deps.Metrics), startedAt: deps.Clock.Now(), pauses: clock.NewPauses(deps.Elapsed),
 		rng:          rand.New(rand.NewPCG(deps.Seed, 3)), //nolint:gosec // not for secrets
 		retryBudgets: make(map[string]*retry.WindowBudget), candidateLists: make(map[string]candidateList),
-		pushback: retry.NewPushback(), returns: make(map[string]*retry.Returns),
+		pushback: retry.NewPushback(), returns: make(map[string]*retry.Returns), limits: limit.NewServers(),
 	}
 }
 
