--- a/soak/check.go
+++ b/soak/check.go
@@ -23,6 +23,7 @@
 	revokedKeyUnused      = "a revoked key runs no request"
 	correctAccount        = "a request runs for the account of its key"
 	pausedServerUnused    = "a server that asks for a pause receives at most two requests in it"
+	limitedServerRate     = "a server that states a limit receives no more requests than it allows"
 	leavingServerUnused   = "a server that states that it is leaving receives no new request"
 	drainedServerUnused   = "a draining backend server receives no new request"
 	noPlannedInterruption = "planned maintenance interrupts no request"
@@ -51,6 +52,8 @@
 	hasKey, refused bool
 	// statesLeaving is true if the response stated that the server is leaving.
 	statesLeaving bool
+	// statesLimit is true if the response stated a limit.
+	statesLimit bool
 	// pause is how long the server asked the gateway to send nothing; zero if it did not.
 	pause time.Duration
 }
@@ -139,6 +142,7 @@
 	found = append(found, d.checkRetryBudget()...)
 	found = append(found, d.checkLeaving()...)
 	found = append(found, d.checkPauses()...)
+	found = append(found, d.checkLimits()...)
 	h.keepLogs = len(found) > 0
 	if h.keepLogs {
 		// Not a violation; shows where the logs are.
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -78,7 +78,9 @@
 	// disruptions lists the periods of unplanned faults, in which responses may be
 	// interrupted.
 	disruptions []disruption
-	history     observations
+	// limits lists the periods in which servers stated limits.
+	limits  []limitPeriod
+	history observations
 	// cutsFirstRuns, allRefuse and separated report whether the plan contains
 	// CutFirstRuns, AllServersRefuse and GatewaysSeparated.
 	cutsFirstRuns, allRefuse, separated bool
--- a/soak/server.go
+++ b/soak/server.go
@@ -21,8 +21,22 @@
 	// minAskedPause and maxAskedPause bound the pause that a server asks for.
 	minAskedPause = 300 * time.Millisecond
 	maxAskedPause = 6 * time.Second
+	// limitHold is how much longer than other faults a limit is stated.
+	limitHold = 5 * time.Second
 )
 
+// limitRates are the rates, in requests per second, to which servers limit all gateways
+// together.
+var limitRates = [variantCount]float64{0.5, 1, 3, 8, 25}
+
+// limitPeriod is a period in which all responses of a server state a limit.
+type limitPeriod struct {
+	server string
+	rate   float64
+	from   time.Time
+	to     time.Time
+}
+
 // server is a simulated backend server behind a link that faults can impair.
 type server struct {
 	*standin.Replica
@@ -40,8 +54,28 @@
 	leaving bool
 	// left reports whether its entry was removed.
 	left bool
+	// limit is the rate that its responses state, in requests per second; zero if none.
+	limit float64
 }
 
+// stateLines sets the header lines of the server's responses. The caller holds mu.
+func (s *server) stateLines() {
+	var lines []string
+	if s.leaving {
+		lines = append(lines, headerLeaving+": 1")
+	}
+	if s.limit > 0 {
+		lines = append(lines, fmt.Sprintf("%s: %g", headerLimit, s.limit))
+	}
+	s.SetHeaderLines(lines...)
+}
+
+// Header fields in which a server states something about itself.
+const (
+	headerLeaving = "Server-Leaving"
+	headerLimit   = "Server-Limit"
+)
+
 // addServer starts a backend server of a service and registers it.
 func (d *deployment) addServer(service string) error {
 	d.mu.Lock()
@@ -141,6 +175,8 @@
 		d.drainServer(s)
 	case ServerLeaves:
 		d.leave(s, f.Variant%2 == 0)
+	case ServerLimits:
+		d.limitRate(s, limitRates[f.Variant], f.For+limitHold)
 	default:
 		d.disrupt(f, func() { set(f.Kind) }, func() { set("") })
 	}
@@ -175,13 +211,16 @@
 func (d *deployment) leave(s *server, removeEntry bool) {
 	s.mu.Lock()
 	going := s.leaving || s.left || !s.drainingSince.IsZero()
-	s.leaving, s.left = true, s.left || removeEntry
+	s.left = s.left || removeEntry
 	s.mu.Unlock()
 	if going {
 		return
 	}
 	d.history.addFailure("backend server starts", d.addServer(s.service))
-	s.SetHeaderLines("Server-Leaving: 1")
+	s.mu.Lock()
+	s.leaving = true
+	s.stateLines()
+	s.mu.Unlock()
 	d.register(s)
 	time.Sleep(drainListenTime)
 	s.mu.Lock()
@@ -191,6 +230,30 @@
 	s.close()
 }
 
+// limitRate lets all responses of a server state a limit for some time. It does nothing
+// if they do already.
+func (d *deployment) limitRate(s *server, rate float64, duration time.Duration) {
+	set := func(limit float64) (previous float64) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		previous = s.limit
+		if previous == 0 || limit == 0 {
+			s.limit = limit
+			s.stateLines()
+		}
+		return previous
+	}
+	from := time.Now()
+	if set(rate) > 0 {
+		return
+	}
+	time.Sleep(min(duration, time.Until(d.startedAt.Add(d.opts.Duration))))
+	set(0)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.limits = append(d.limits, limitPeriod{server: s.ID, rate: rate, from: from, to: time.Now()})
+}
+
 // handleRequest records the arrival of a request at a server and responds to it
 // according to the active fault. It reports whether the connection stays usable.
 func (d *deployment) handleRequest(s *server, e *standin.Exchange) bool {
@@ -200,7 +263,7 @@
 	}
 	r := receivedRequest{
 		server: s.ID, service: s.service, receivedAt: time.Now(), drainingSince: drainingSince, account: e.Tenant(), hasKey: e.HasKey(),
-		refused: activeFault == ServerRefuses || e.ExpectedReplica() != s.ID, statesLeaving: e.HasHeaderLines(),
+		refused: activeFault == ServerRefuses || e.ExpectedReplica() != s.ID, statesLeaving: e.HeaderLine(headerLeaving) != "", statesLimit: e.HeaderLine(headerLimit) != "",
 	}
 	if activeFault == ServerAsksPause && !r.refused {
 		r.refused, r.pause = true, minAskedPause+time.Duration(rand.Int64N(int64(maxAskedPause-minAskedPause)))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -99,6 +99,31 @@
 	}
 }
 
+// TestLimitedServerOfRealGatewaysIsFlooded guards against gateways that send a backend
+// server more requests than the limit that it states for all of them together.
+func TestLimitedServerOfRealGatewaysIsFlooded(t *testing.T) {
+	o := soak.DefaultOptions()
+	o.Bin, o.Duration = buildGateway(t), 12*time.Second
+	second := time.Second
+	for name, plan := range map[string][]soak.Fault{
+		"one-per-second":         {{Kind: soak.ServerLimits, At: second, For: 3 * second, Variant: 1}},
+		"eight-per-second":       {{Kind: soak.ServerLimits, At: second, For: 3 * second, Variant: 3}},
+		"with-gateway-restarted": {{Kind: soak.ServerLimits, At: second, For: 4 * second, Variant: 1}, {Kind: soak.KillGateway, At: 5 * second, For: second, Target: 1}},
+		"all-servers-of-a-service": {
+			{Kind: soak.ServerLimits, At: second, For: 3 * second, Variant: 0},
+			{Kind: soak.ServerLimits, At: second, For: 3 * second, Variant: 1},
+			{Kind: soak.ServerLimits, At: second, For: 3 * second, Variant: 2},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := o
+			o.Plan = plan
+			requirePass(t, soak.RunSeed(o, 1))
+		})
+	}
+}
+
 // TestRandomPlansPass runs the plans of a few seeds, which must violate no
 // guarantee.
 func TestRandomPlansPass(t *testing.T) {
