Keep to the limit that a backend server states for all gateways together

What callers and operators saw: a backend server that had named a limit of 4.9 requests a second got 75 in 4 s where 34 are allowed, one with a limit of 1 got 15 where 11 are.

Evidence: on the code before, each gateway logs backend_limited within one response of the statement and goes on sending as before; one gateway sent 60 requests in 50 ms to a replica with a limit of 1, three real gateways 357 to 487 in 4 s.

Change: package limit divides the limit among the first gateways of an order that all of them compute from their addresses, so that neither the number of gateways nor one request of each of them adds up to more. A request takes its permission right before it is written (upstream.Request.Admit), after it has waited for capacity or for a connection; first attempts, retries and resumed streams pass there. A server without permissions is not chosen. If all are at their limit, requests are refused at once with the time of the next one.

Why it works: all holders together are allowed r*t + 1.25*r + 3 requests in any time t, plus one of another gateway each 4 s after 15 s of silence; that is at most 1.5 * r * 4 s + 5 in 4 s.

--- a/decisionlog/retries.go
+++ b/decisionlog/retries.go
@@ -30,7 +30,7 @@
 }
 
 // Results of attempts that did not reach a backend server.
-var notReached = map[string]bool{"unsent": true, "full": true}
+var notReached = map[string]bool{"unsent": true, "full": true, "withheld": true}
 
 // sentAttempt is an attempt that may have reached a backend server.
 type sentAttempt struct {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -45,6 +45,9 @@
 	// resultConnectionLimit: all connections that this gateway may open to the
 	// backend server are in use.
 	resultConnectionLimit
+	// resultWithheld: the request was not sent because the backend server would not take
+	// it now.
+	resultWithheld
 	// resultNotRun: the backend server stated that it did not run the request.
 	resultNotRun
 	// resultMayHaveRun: the attempt failed and the request may have run.
@@ -56,7 +59,7 @@
 )
 
 var resultNames = map[attemptResult]string{
-	resultDelivered: "delivered", resultNotSent: "unsent", resultConnectionLimit: "full", resultNotRun: "not_run", resultMayHaveRun: "may_have_run", resultCallerDisconnected: "hung_up", resultDeadlineExceeded: "timed_out",
+	resultDelivered: "delivered", resultNotSent: "unsent", resultConnectionLimit: "full", resultWithheld: "withheld", resultNotRun: "not_run", resultMayHaveRun: "may_have_run", resultCallerDisconnected: "hung_up", resultDeadlineExceeded: "timed_out",
 }
 
 // chosenServer is the backend server chosen for an attempt.
@@ -154,7 +157,7 @@
 // given result, or an empty string if it may be retried. A permitted retry is
 // reserved, unless the attempt did not reach a backend server.
 func (s *Server) refuseRetry(req *request, fwd *responseForwarder, last attemptResult) string {
-	if last == resultNotSent || last == resultConnectionLimit {
+	if last == resultNotSent || last == resultConnectionLimit || last == resultWithheld {
 		if len(req.excluded) > maxAttempts {
 			return "unreachable"
 		}
@@ -230,7 +233,7 @@
 const interruptedStreamReserve = 1
 
 // chooseServer returns the backend server for the next attempt, not one that asked for
-// a pause.
+// a pause or whose limit allows no request now.
 func (s *Server) chooseServer(req *request) (chosenServer, bool) {
 	usable := s.deps.Directory.Usable(req.service.Name)
 	if len(usable) == 0 {
@@ -325,6 +328,8 @@
 		return routing.Succeeded
 	case resultConnectionLimit:
 		return routing.ConnectionLimit
+	case resultWithheld:
+		return routing.Withheld
 	case resultNotSent:
 		return routing.NotSent
 	case resultNotRun:
@@ -356,10 +361,7 @@
 		Head: s.deps.Codec.EncodeHead(req.in, req.RequestInfo, active.server.Address, active.info), Body: req.in.Body,
 		MaxConnections: s.connectionLimit(req),
 		MatchesRequest: func(h http.Header) bool { return s.deps.Codec.Matches(requestInfo, h) },
-		OnSend: func() {
-			active.writtenAt = s.deps.Clock.Now()
-			s.useRetry(req)
-		},
+		Admit:          func() bool { return s.admitSend(req, active) },
 	})
 	if err != nil {
 		if !upstream.NotSent(err) {
@@ -446,6 +448,8 @@
 		return resultCallerDisconnected, err.Error()
 	case errors.Is(err, upstream.ErrConnectionLimit):
 		return resultConnectionLimit, err.Error()
+	case errors.Is(err, upstream.ErrNotAdmitted):
+		return resultWithheld, err.Error()
 	case upstream.NotSent(err):
 		return resultNotSent, err.Error()
 	default:
@@ -484,8 +488,8 @@
 	}
 	switch {
 	case req.runs == 0:
-		delay, paused := s.pauseDelay(req)
-		if !paused {
+		delay, unavailable := s.availabilityDelay(req)
+		if !unavailable {
 			delay = s.retryDelay(req)
 		}
 		s.refuse(req, newRefusal(http.StatusServiceUnavailable, reason).withRetryAfter(delay))
--- a/gateway/pushback.go
+++ b/gateway/pushback.go
@@ -35,14 +35,17 @@
 }
 
 // excluded returns the IDs of the servers that must not be chosen for the request: those
-// that were tried, and those that asked for a pause.
+// that were tried, those that asked for a pause, and those whose limit allows no request
+// now.
 func (s *Server) excluded(req *request, usable []*directory.BackendServer) map[string]bool {
-	if !s.pushback.Any(s.deps.Clock.Now()) {
+	now := s.deps.Clock.Now()
+	pauses, limits := s.pushback.Any(now), s.limits.Any()
+	if !pauses && !limits {
 		return req.excluded
 	}
 	excluded := maps.Clone(req.excluded)
 	for _, b := range usable {
-		if s.paused(b) {
+		if pauses && s.paused(b) || limits && s.allowance(now, b).At.After(now) {
 			excluded[b.ID] = true
 		}
 	}
@@ -51,35 +54,52 @@
 
 // reasonWithoutServer returns why no server can be chosen for a request.
 func (s *Server) reasonWithoutServer(req *request) string {
+	now := s.deps.Clock.Now()
+	reason := "no_backend_server"
 	for _, b := range s.deps.Directory.Usable(req.service.Name) {
-		if !req.excluded[b.ID] && s.paused(b) {
+		switch {
+		case req.excluded[b.ID]:
+		case s.paused(b):
 			return "servers_paused"
+		case s.allowance(now, b).At.After(now):
+			reason = "servers_limited"
 		}
 	}
-	return "no_backend_server"
+	return reason
 }
 
-// pauseDelay returns when the caller of a refused request should retry if all servers
-// of its service asked for a pause: when the first one returns, and after the callers
-// that were refused before, as fast as that server is expected to serve them.
-func (s *Server) pauseDelay(req *request) (delay time.Duration, paused bool) {
+// availabilityDelay returns when the caller of a refused request should retry if all
+// servers of its service asked for a pause or have reached their limit: when the first
+// one is available, and after the callers that were refused before, as fast as the
+// servers are expected to serve them.
+func (s *Server) availabilityDelay(req *request) (delay time.Duration, unavailable bool) {
 	now := s.deps.Clock.Now()
 	usable := s.deps.Directory.Usable(req.service.Name)
+	if len(usable) == 0 {
+		return 0, false
+	}
 	var opensAt time.Time
-	slots := 1
+	slots, perSecond := 1, 0.0
 	for _, b := range usable {
 		until, paused := s.pushback.Until(now, incarnationOf(b))
-		if !paused {
+		allowance := s.allowance(now, b)
+		switch {
+		case !paused && !allowance.At.After(now):
 			return 0, false
+		case !paused:
+			until = allowance.ReturnAt
 		}
 		if opensAt.IsZero() || until.Before(opensAt) {
 			opensAt, slots = until, max(1, b.Slots)
 		}
-	}
-	if len(usable) == 0 {
-		return 0, false
+		if allowance.Limited {
+			perSecond += 1 / allowance.Interval.Seconds()
+		}
 	}
 	interval := req.route.LatencyTarget / time.Duration(slots)
+	if perSecond > 0 {
+		interval = max(interval, time.Duration(float64(time.Second)/perSecond))
+	}
 	return s.returnsOf(req.service.Name).Next(opensAt, interval).Sub(now) + s.jitter(), true
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -51,6 +51,10 @@
 	// false if this gateway has never reached another one although there should be
 	// some; the number is then an assumption.
 	Sharing() (gateways int, known bool)
+	// Position returns the position of this gateway, from 0, in an order of these
+	// gateways, and their number. The order differs from key to key, and is the same at
+	// all gateways that know each other.
+	Position(key string) (position, gateways int)
 }
 
 // Dependencies are the components that a Server uses.
--- a/gateway/sharing.go
+++ b/gateway/sharing.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -73,6 +75,33 @@
 	return count
 }
 
+// Position implements SharingCounter. Gateways whose address is not known are assumed to
+// be spread evenly over the order.
+func (p *Peers) Position(key string) (position, gateways int) {
+	gateways, _ = p.Sharing()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	own, listed := orderOf(key, p.address), 1
+	for address := range p.sharing {
+		listed++
+		if orderOf(key, address) < own {
+			position++
+		}
+	}
+	for _, seed := range p.seeds {
+		if _, heard := p.sharing[seed]; !heard && seed != p.address {
+			listed++
+			if orderOf(key, seed) < own {
+				position++
+			}
+		}
+	}
+	return position * max(gateways, listed) / listed, gateways
+}
+
+// orderOf returns the place of a gateway in the order of a key.
+func orderOf(key, address string) uint64 { return xxhash.Sum64String(key + " " + address) }
+
 // recordSharing remembers the sender of a message. The caller holds mu.
 func (p *Peers) recordSharing(now time.Time, message peerMessage) {
 	r, known := p.sharing[message.From]
--- a/limit/server.go
+++ b/limit/server.go
@@ -23,16 +23,60 @@
 	limitEndHold = 4 * time.Second
 	// limitEndResponses is how many responses in a row must state no limit to end it.
 	limitEndResponses = 2
+	// extraHolders is the number of gateways that may use a limit in addition to one for
+	// each request per second that it allows.
+	extraHolders = 2
+	// The bursts of all gateways together are burstSeconds of the limited rate, and
+	// extraBurst requests. Each holder has a burst of more than one request.
+	burstSeconds = 1.25
+	extraBurst   = 3.0
+	// silence is how long a gateway that is no holder must have heard nothing of a limit
+	// before it sends a request to find out whether the limit still holds. The gateways
+	// that are no holders do so one after another, each within probeInterval.
+	silence       = 15 * time.Second
+	probeInterval = 4 * time.Second
 )
 
-// Servers holds the rates to which backend servers limit all gateways together. It is
-// safe for concurrent use.
+// Share determines which part of a server's limit a gateway may use.
+type Share struct {
+	// Gateways is the number of gateways that share the limit.
+	Gateways int
+	// Position is the position of this gateway, from 0, in an order of the gateways that
+	// is the same for all of them.
+	Position int
+}
+
+// Allowance tells when a gateway may send the next request to a server.
+type Allowance struct {
+	// Limited reports whether the server has a limit; if it has none, the other fields
+	// are zero.
+	Limited bool
+	// At is when this gateway may send the next request.
+	At time.Time
+	// ReturnAt is when a caller that returns to any gateway may be served.
+	ReturnAt time.Time
+	// Interval is the mean time between two requests.
+	Interval time.Duration
+}
+
+// Servers holds the rates to which backend servers limit all gateways together, and
+// this gateway's share of them. It is safe for concurrent use.
+//
+// Callers may assume this bound while all gateways that know a limit of r requests per
+// second agree on their number and order, and the limit does not change: together they
+// are allowed at most r*t + burstSeconds*r + extraBurst requests in any time t, for any
+// number of gateways and any distribution of the requests among them, apart from the
+// requests of gateways that have heard nothing of the limit for at least silence. A
+// limit holds from the response that states it until several later responses of the
+// same incarnation state none.
 //
-// Callers may assume that a limit holds from the response that states it until several
-// later responses of the same incarnation state none.
+// Only some gateways, the holders, use a limit: if each of many gateways could send a
+// single request at any time, they could send all of these at once.
 type Servers struct {
 	mu      sync.Mutex
 	servers map[retry.Incarnation]*serverLimit
+	// limited is the number of servers with a limit.
+	limited int
 }
 
 // serverLimit is what is known of the limit of one server.
@@ -43,6 +87,12 @@
 	statedAt time.Time
 	// without counts the responses since then that stated none.
 	without int
+	// heardAt is when a response last told whether there is a limit, or a request was
+	// sent to find out.
+	heardAt time.Time
+	// tokens is the number of requests that may be sent, as of tokensAt.
+	tokens   float64
+	tokensAt time.Time
 }
 
 // NewServers returns a Servers without limits.
@@ -66,7 +116,11 @@
 	}
 	rate = min(max(perSecond, minServerRate), maxServerRate)
 	changed = s.rate != rate
-	s.rate, s.statedAt, s.without = rate, now, 0
+	if s.rate == 0 {
+		l.limited++
+		s.tokens, s.tokensAt = 0, now
+	}
+	s.rate, s.statedAt, s.heardAt, s.without = rate, now, now, 0
 	return rate, changed
 }
 
@@ -84,14 +138,93 @@
 		return false
 	}
 	s.rate = 0
+	l.limited--
 	return true
 }
 
+// Any reports whether some server has a limit.
+func (l *Servers) Any() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limited > 0
+}
+
+// Next returns when this gateway may send the next request to a server.
+func (l *Servers) Next(now time.Time, server retry.Incarnation, share Share) Allowance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.servers[server]
+	if s == nil || s.rate == 0 {
+		return Allowance{}
+	}
+	return s.next(now, share)
+}
+
+// Take takes the permission to send a request to a server now. It returns false if the
+// request must not be sent.
+func (l *Servers) Take(now time.Time, server retry.Incarnation, share Share) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.servers[server]
+	if s == nil || s.rate == 0 {
+		return true
+	}
+	if s.next(now, share).At.After(now) {
+		return false
+	}
+	if share.Position < holders(s.rate, share.Gateways) {
+		s.tokens--
+	}
+	s.heardAt = now // a further request of this gateway would tell nothing more
+	return true
+}
+
+// holders returns how many of the gateways use a limit.
+func holders(rate float64, gateways int) int {
+	return int(min(float64(max(1, gateways)), rate+extraHolders))
+}
+
+// next returns when the gateway may send the next request.
+func (s *serverLimit) next(now time.Time, share Share) Allowance {
+	n := holders(s.rate, share.Gateways)
+	if share.Position >= n {
+		return Allowance{Limited: true, At: s.nextProbe(now, share, n), ReturnAt: now.Add(seconds(1 / s.rate)), Interval: seconds(1 / s.rate)}
+	}
+	rate := s.rate / float64(n)
+	burst := (burstSeconds*s.rate + extraBurst) / float64(n)
+	s.tokens = min(burst, s.tokens+rate*now.Sub(s.tokensAt).Seconds())
+	s.tokensAt = now
+	at := now
+	if s.tokens < 1 {
+		at = now.Add(seconds((1 - s.tokens) / rate))
+	}
+	return Allowance{Limited: true, At: at, ReturnAt: at, Interval: seconds(1 / rate)}
+}
+
+// nextProbe returns when a gateway that is none of the first n may send a request to find
+// out whether the limit still holds: within probeInterval of its turn.
+func (s *serverLimit) nextProbe(now time.Time, share Share, n int) time.Time {
+	turn := s.heardAt.Add(silence + time.Duration(share.Position-n)*probeInterval)
+	round := time.Duration(max(share.Gateways, share.Position+1)-n) * probeInterval
+	if late := now.Sub(turn) - probeInterval; late >= 0 {
+		turn = turn.Add((late/round + 1) * round)
+	}
+	if turn.Before(now) {
+		return now
+	}
+	return turn
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // removeOld removes the servers without a limit, and those that have not stated it for
 // limitHold. The caller holds mu.
 func (l *Servers) removeOld(now time.Time) {
 	for server, s := range l.servers {
 		if s.rate == 0 || now.Sub(s.statedAt) > limitHold {
+			if s.rate > 0 {
+				l.limited--
+			}
 			delete(l.servers, server)
 		}
 	}
--- a/limit/server_test.go
+++ b/limit/server_test.go
@@ -1,9 +1,12 @@
 package limit
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/sesameswitch/sesameswitch/retry"
 )
 
@@ -49,3 +52,119 @@
 		t.Errorf("%d servers, changed %v, want only the new one", len(l.servers), changed)
 	}
 }
+
+// Bound on what a server with a limit may receive within limitPeriod.
+const (
+	limitPeriod    = 4 * time.Second
+	limitTolerance = 1.5
+	limitExtra     = 5
+)
+
+// TestGatewaysTogetherExceedServerLimit guards against gateways that together send more
+// requests to a server than its limit allows: for 1 to 340 gateways and limits from 0.05
+// to 500 a second that end and come back and that single responses do not state,
+// with demand that moves between the gateways, gateways that start again and requests
+// that arrive late.
+func TestGatewaysTogetherExceedServerLimit(t *testing.T) {
+	const (
+		step      = 50 * time.Millisecond
+		latest    = 400 * time.Millisecond // until a request arrives
+		reaction  = 500 * time.Millisecond // from the first response with the limit
+		phaseTime = 8 * time.Second
+	)
+	server := retry.Incarnation{ID: "i-1"}
+	type gateway struct {
+		limits *Servers
+		told   time.Time
+		// stated reports whether the last response stated the limit.
+		stated bool
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{1, 2, 4, 5, 9, 27, 68, 340}).Draw(t, "gateways")
+		gateways := make([]gateway, n)
+		for i := range gateways {
+			gateways[i].limits = NewServers()
+		}
+		now := time.Unix(1000, 0)
+		limited := rapid.SampledFrom([]float64{0.05, 0.5, 1, 4.9, 20, 100, 500}).Draw(t, "limit")
+		for range rapid.IntRange(1, 4).Draw(t, "phases") {
+			rate := limited
+			if rapid.IntRange(0, 2).Draw(t, "limit has ended") == 0 {
+				rate = 0
+				for i := range gateways {
+					gateways[i].told = time.Time{}
+				}
+			}
+			silentShare := rapid.IntRange(0, 3).Draw(t, "responses without the limit, of 10")
+			only := rapid.IntRange(0, n).Draw(t, "gateways with demand") // 0: all
+			perStep := rapid.IntRange(1, 4).Draw(t, "demand of each gateway in a step")
+			restart := rapid.IntRange(0, 2*n).Draw(t, "restarted gateway")
+			delay := time.Duration(rapid.IntRange(0, int(latest/time.Millisecond)).Draw(t, "delay")) * time.Millisecond
+			if restart < n {
+				gateways[restart] = gateway{limits: NewServers()}
+			}
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 30, 600}).Draw(t, "seconds without demand")) * time.Second)
+			var arrivals []time.Time
+			start := now
+			responses := 0
+			for ; now.Before(start.Add(phaseTime)); now = now.Add(step) {
+				for i := range gateways {
+					if only > 0 && i >= only {
+						break
+					}
+					g := &gateways[i]
+					for range perStep {
+						if !g.limits.Take(now, server, Share{Gateways: n, Position: i}) {
+							break
+						}
+						if rate > 0 && !g.told.IsZero() && now.Sub(g.told) > reaction {
+							arrivals = append(arrivals, now.Add(delay*time.Duration(len(arrivals)%2)))
+						}
+						responses++
+						g.stated = rate > 0 && (responses%10 >= silentShare || !g.stated)
+						if g.stated {
+							g.limits.Stated(now, server, rate)
+							if g.told.IsZero() {
+								g.told = now
+							}
+						} else {
+							g.limits.NotStated(now, server)
+						}
+					}
+				}
+			}
+			slices.SortFunc(arrivals, time.Time.Compare)
+			for i, first := 0, 0; i < len(arrivals); i++ {
+				for arrivals[i].Sub(arrivals[first]) > limitPeriod {
+					first++
+				}
+				if allowed := limitTolerance*rate*limitPeriod.Seconds() + limitExtra; float64(i-first+1) > allowed {
+					t.Fatalf("%d requests of %d gateways within %v, allowed %g for a limit of %g", i-first+1, n, limitPeriod, allowed, rate)
+				}
+			}
+		}
+	})
+}
+
+// TestGatewayWithoutPartOfTheLimitFindsItsEnd guards against a gateway that never learns
+// that a limit has ended because it may send the server no request.
+func TestGatewayWithoutPartOfTheLimitFindsItsEnd(t *testing.T) {
+	l, server, share := NewServers(), retry.Incarnation{ID: "i-1"}, Share{Gateways: 340, Position: 300}
+	at := time.Unix(1000, 0)
+	l.Stated(at, server, 1)
+	sent := 0
+	// Two rounds, of silence and one probeInterval for each gateway.
+	for now := at; now.Before(at.Add(2 * (silence + 340*probeInterval))); now = now.Add(time.Second) {
+		if l.Take(now, server, share) {
+			sent++
+			l.NotStated(now, server)
+		}
+		if !l.Any() {
+			if sent != limitEndResponses {
+				t.Errorf("%d requests until the end of the limit, want %d", sent, limitEndResponses)
+			}
+			return
+		}
+	}
+	t.Errorf("the limit has not ended after %d requests", sent)
+}
--- a/routing/server.go
+++ b/routing/server.go
@@ -236,6 +236,9 @@
 	// ConnectionLimit means that this gateway has reached its connection limit at
 	// the server.
 	ConnectionLimit Result = "full"
+	// Withheld means that the request was not sent because the server would not take it
+	// now.
+	Withheld Result = "withheld"
 )
 
 // Attempt tracks one request sent to one server. It is used by one goroutine.
@@ -421,7 +424,7 @@
 	if a.latencySensitive {
 		st.latencySensitive = max(0, st.latencySensitive-1)
 	}
-	if !a.started && (result == Refused || result == NotSent || result == ConnectionLimit) {
+	if !a.started && (result == Refused || result == NotSent || result == ConnectionLimit || result == Withheld) {
 		a.retractSegments(st)
 	}
 	service := a.scheduler.service(a.job.Service)
@@ -435,7 +438,7 @@
 		}
 	case Refused:
 		st.recordOutcome(now, refusalWeight)
-	case Cancelled, ConnectionLimit:
+	case Cancelled, ConnectionLimit, Withheld:
 	}
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -60,11 +60,15 @@
 	// ErrConnectionLimit means that the backend server already has the maximum
 	// number of connections and that none of them is idle.
 	ErrConnectionLimit = eris.New("upstream: connection limit of the backend server reached")
+	// ErrNotAdmitted means that Request.Admit returned false.
+	ErrNotAdmitted = eris.New("upstream: request not admitted")
 )
 
 // NotSent reports whether err means that no part of the request reached the
 // backend server.
-func NotSent(err error) bool { return errors.Is(err, ErrNotSent) || errors.Is(err, ErrConnectionLimit) }
+func NotSent(err error) bool {
+	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrConnectionLimit) || errors.Is(err, ErrNotAdmitted)
+}
 
 // Config configures a Pool. Zero durations select the defaults.
 type Config struct {
@@ -267,8 +271,9 @@
 	// MatchesRequest, if set, reports whether a response with these headers
 	// belongs to this request.
 	MatchesRequest func(http.Header) bool
-	// OnSend, if set, is called by Do when it begins to write the request.
-	OnSend func()
+	// Admit, if set, is called by Do right before it begins to write the request, which
+	// may have waited for a connection. If it returns false, the request is not written.
+	Admit func() bool
 }
 
 // Exchange is one request and its response on one connection. It ends with
@@ -315,8 +320,9 @@
 		e.Abort()
 		return nil, errors.Join(ErrNotSent, ctx.Err())
 	}
-	if r.OnSend != nil {
-		r.OnSend()
+	if r.Admit != nil && !r.Admit() {
+		e.keepUnused()
+		return nil, ErrNotAdmitted
 	}
 	e.writeRequest(r)
 	if err := e.readResponseHead(r); err != nil {
@@ -326,6 +332,26 @@
 	return e, nil
 }
 
+// keepUnused returns a connection to the pool on which nothing was written.
+func (e *Exchange) keepUnused() {
+	if !e.stopCancel() {
+		e.Abort()
+		return
+	}
+	e.closed = true
+	if e.conn.usableUntil.IsZero() {
+		e.conn.usableUntil = time.Now().Add(time.Duration(idleTimeoutFraction * float64(e.pool.cfg.IdleTimeout)))
+	}
+	e.pool.addIdle(e.conn)
+}
+
+// addIdle adds a connection to the idle ones.
+func (p *Pool) addIdle(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
 // writeRequest sends the request. A large body is sent by a separate goroutine,
 // because a backend server may respond before it has read the body.
 func (e *Exchange) writeRequest(r *Request) {
@@ -460,9 +486,7 @@
 	}
 	e.closed = true
 	e.conn.usableUntil = time.Now().Add(e.reuseWindow())
-	e.pool.mu.Lock()
-	defer e.pool.mu.Unlock()
-	e.pool.idle[e.conn.address] = append(e.pool.idle[e.conn.address], e.conn)
+	e.pool.addIdle(e.conn)
 }
 
 // reuseWindow returns how long the idle connection may be reused:
