Report to other gateways what responses state about the limit of a server

What callers and operators would see: after a limit has fallen, gateways that get no response of the server go on with the higher one; after it has ended, gateways that may not send the server a request leave it unused for minutes.

Cause: a gateway learnt of a limit by its own responses only, while the limit holds for all.

Change: hellos carry what the sender learnt from its own responses in the last 8 s, with its age; the newest wins.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -72,8 +72,8 @@
 	assumedGateways = 8
 	// Entries of peerMessage.Known that begin with dataCentreMark are no addresses:
 	// one names the data centre of the sender, relayMark asks the receiver to relay
-	// the message, and the number after countMark is that of the gateways that share
-	// limits.
+	// the message, the number after countMark is that of the gateways that share
+	// limits, and limitMark begins a report about the limit of a backend server.
 	dataCentreMark = "@"
 	relayMark      = dataCentreMark + "relay"
 	countMark      = dataCentreMark + "gateways="
@@ -169,6 +169,8 @@
 	// OnCount, if set before Run, is called with the numbers of live gateways and of
 	// those that share limits when one has changed.
 	OnCount func(live, sharing int)
+	// Limits, if set before Run, exchanges the limits of backend servers.
+	Limits LimitExchange
 }
 
 // NewPeers returns the peers of a gateway that knows only its seeds.
@@ -435,6 +437,7 @@
 		listed = append(listed, seen[(p.nextListed+i)%len(seen)])
 	}
 	p.nextListed += len(listed)
+	listed = append(listed, p.limitEntries(now)...)
 	return targets, peerMessage{From: p.address, Known: append(listed, countEntry(p.ownCount()), dataCentreMark+p.dataCentre)}
 }
 
@@ -478,12 +481,13 @@
 	}
 	sender.lastMessage = now
 	for _, entry := range message.Known {
-		if name, isMark := strings.CutPrefix(entry, dataCentreMark); isMark && entry != relayMark && !strings.HasPrefix(entry, countMark) {
+		if name, isMark := strings.CutPrefix(entry, dataCentreMark); isMark && entry != relayMark && !strings.HasPrefix(entry, countMark) && !strings.HasPrefix(entry, limitMark) {
 			sender.dataCentre = name
 		}
 	}
 	p.known[message.From] = sender
 	p.recordSharing(now, message)
+	p.applyLimitEntries(now, message)
 	if len(message.Hints) > 0 {
 		ttl := max(minHintTTL, hintTTLIntervals*hintIntervalFor(p.liveCountAt(now)))
 		p.hints.ApplyHints(now, now.Add(ttl), message.From, message.Hints)
--- a/gateway/serverlimit.go
+++ b/gateway/serverlimit.go
@@ -7,6 +7,7 @@
 
 	"github.com/sesameswitch/sesameswitch/directory"
 	"github.com/sesameswitch/sesameswitch/limit"
+	"github.com/sesameswitch/sesameswitch/retry"
 )
 
 // limitShare returns this gateway's share of the limit of a backend server.
@@ -39,21 +40,37 @@
 // recordLimit records whether the response to an attempt states a limit of the backend
 // server. A response of unknown origin, or with an invalid limit, says nothing.
 func (s *Server) recordLimit(active *activeAttempt, info ResponseInfo) {
-	server := active.server
+	now, incarnation := s.deps.Clock.Now(), incarnationOf(active.server)
 	switch {
 	case info.LimitStated:
-		if rate, changed := s.limits.Stated(s.deps.Clock.Now(), incarnationOf(server), info.Limit); changed {
-			s.metrics.limitChanges.Inc(1)
-			s.deps.Log.WithFields(logrus.Fields{
-				"event": "backend_limited", "server": server.ID, "service": server.Service, "address": server.Address, "stated_per_s": info.Limit, "limit_per_s": rate,
-			}).Info("backend server states a limit on the rate of requests")
+		if rate, changed := s.limits.Stated(now, incarnation, info.Limit); changed {
+			s.logLimit(incarnation, rate, logrus.Fields{"stated_per_s": info.Limit, "service": active.server.Service, "address": active.server.Address})
 		}
 	case !info.LimitInvalid && (info.Authentic || info.NotRun):
-		if s.limits.NotStated(active.writtenAt, incarnationOf(server)) {
-			s.metrics.limitChanges.Inc(1)
-			s.deps.Log.WithFields(logrus.Fields{
-				"event": "backend_unlimited", "server": server.ID, "service": server.Service, "address": server.Address,
-			}).Info("backend server states no limit any more")
+		if s.limits.NotStated(now, active.writtenAt, incarnation) {
+			s.logLimit(incarnation, 0, logrus.Fields{"service": active.server.Service, "address": active.server.Address})
 		}
 	}
 }
+
+// LimitReports implements LimitExchange.
+func (s *Server) LimitReports(now time.Time) []limit.Report { return s.limits.Reports(now) }
+
+// ApplyLimitReport implements LimitExchange.
+func (s *Server) ApplyLimitReport(now time.Time, from string, r limit.Report) {
+	if rate, changed := s.limits.Apply(now, r); changed {
+		s.logLimit(r.Server, rate, logrus.Fields{"peer": from, "age_ms": r.Age.Milliseconds()})
+	}
+}
+
+// logLimit logs and counts that the limit of a backend server has changed; a rate of zero
+// means that it has ended.
+func (s *Server) logLimit(server retry.Incarnation, rate float64, fields logrus.Fields) {
+	s.metrics.limitChanges.Inc(1)
+	entry := s.deps.Log.WithFields(fields).WithFields(logrus.Fields{"server": server.ID, "started_at_ms": server.StartedAtMs})
+	if rate == 0 {
+		entry.WithField("event", "backend_unlimited").Info("backend server states no limit on the rate of requests any more")
+		return
+	}
+	entry.WithFields(logrus.Fields{"event": "backend_limited", "limit_per_s": rate}).Info("backend server states a limit on the rate of requests")
+}
--- a/limit/server.go
+++ b/limit/server.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +37,10 @@
 	// that are no holders do so one after another, each within probeInterval.
 	silence       = 15 * time.Second
 	probeInterval = 4 * time.Second
+	// reportAge is how long what this gateway learnt from a response is reported to
+	// other gateways; maxReportAge bounds the age of what they report.
+	reportAge    = 8 * time.Second
+	maxReportAge = time.Minute
 )
 
 // Share determines which part of a server's limit a gateway may use.
@@ -59,6 +65,15 @@
 	Interval time.Duration
 }
 
+// Report is what a gateway learnt about the limit of a server from its own responses.
+type Report struct {
+	Server retry.Incarnation
+	// Rate is the limit in requests per second; zero if it has ended.
+	Rate float64
+	// Age is the time since the response.
+	Age time.Duration
+}
+
 // Servers holds the rates to which backend servers limit all gateways together, and
 // this gateway's share of them. It is safe for concurrent use.
 //
@@ -68,7 +83,8 @@
 // number of gateways and any distribution of the requests among them, apart from the
 // requests of gateways that have heard nothing of the limit for at least silence. A
 // limit holds from the response that states it until several later responses of the
-// same incarnation state none.
+// same incarnation state none, or until another gateway reports that it has changed or
+// ended. Without such reports a gateway learns of a change by its own responses only.
 //
 // Only some gateways, the holders, use a limit: if each of many gateways could send a
 // single request at any time, they could send all of these at once.
@@ -85,6 +101,9 @@
 	rate float64
 	// statedAt is when a response last stated the limit.
 	statedAt time.Time
+	// learntAt is when a response last stated the limit or ended it, ownAt the same for
+	// the responses to this gateway.
+	learntAt, ownAt time.Time
 	// without counts the responses since then that stated none.
 	without int
 	// heardAt is when a response last told whether there is a limit, or a request was
@@ -103,30 +122,95 @@
 func (l *Servers) Stated(now time.Time, server retry.Incarnation, perSecond float64) (rate float64, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.servers[server]
+	s := l.server(now, server)
 	if s == nil {
-		if len(l.servers) >= maxLimitedServers {
-			l.removeOld(now)
-		}
-		if len(l.servers) >= maxLimitedServers {
-			return 0, false
-		}
-		s = &serverLimit{}
-		l.servers[server] = s
+		return 0, false
+	}
+	s.ownAt = now
+	return l.set(now, s, perSecond, now)
+}
+
+// server returns the state of a server, or nil if there are too many. The caller holds
+// mu.
+func (l *Servers) server(now time.Time, server retry.Incarnation) *serverLimit {
+	s := l.servers[server]
+	if s != nil {
+		return s
+	}
+	if len(l.servers) >= maxLimitedServers {
+		l.removeOld(now)
 	}
+	if len(l.servers) >= maxLimitedServers {
+		return nil
+	}
+	s = &serverLimit{}
+	l.servers[server] = s
+	return s
+}
+
+// set sets a limit that was stated at the given time. The caller holds mu.
+func (l *Servers) set(now time.Time, s *serverLimit, perSecond float64, statedAt time.Time) (rate float64, changed bool) {
 	rate = min(max(perSecond, minServerRate), maxServerRate)
 	changed = s.rate != rate
 	if s.rate == 0 {
 		l.limited++
 		s.tokens, s.tokensAt = 0, now
 	}
-	s.rate, s.statedAt, s.heardAt, s.without = rate, now, now, 0
+	s.rate, s.statedAt, s.learntAt, s.heardAt, s.without = rate, statedAt, statedAt, statedAt, 0
 	return rate, changed
 }
 
+// Reports returns what this gateway has recently learnt from its own responses, the
+// newest first.
+func (l *Servers) Reports(now time.Time) []Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var reports []Report
+	for server, s := range l.servers {
+		if age := now.Sub(s.ownAt); !s.ownAt.IsZero() && age <= reportAge && !s.learntAt.After(s.ownAt) {
+			reports = append(reports, Report{Server: server, Rate: s.rate, Age: age})
+		}
+	}
+	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.Age, b.Age) })
+	return reports
+}
+
+// Apply applies what another gateway has learnt, unless something newer is known. It
+// returns the limit in effect, zero if there is none, and whether it has changed.
+func (l *Servers) Apply(now time.Time, r Report) (rate float64, changed bool) {
+	if !(r.Rate >= 0) || r.Age < 0 || r.Age > maxReportAge {
+		return 0, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.servers[r.Server]
+	if s == nil && r.Rate > 0 {
+		s = l.server(now, r.Server)
+	}
+	learntAt := now.Add(-r.Age)
+	if s == nil || !learntAt.After(s.learntAt) {
+		return 0, false
+	}
+	if r.Rate > 0 {
+		return l.set(now, s, r.Rate, learntAt)
+	}
+	s.learntAt = learntAt
+	return 0, l.end(s)
+}
+
+// end ends a limit. It returns false if there was none. The caller holds mu.
+func (l *Servers) end(s *serverLimit) bool {
+	if s.rate == 0 {
+		return false
+	}
+	s.rate = 0
+	l.limited--
+	return true
+}
+
 // NotStated records that the response to a request that was sent at the given time
 // stated no limit. It reports whether this ends the limit of the server.
-func (l *Servers) NotStated(sentAt time.Time, server retry.Incarnation) (ended bool) {
+func (l *Servers) NotStated(now, sentAt time.Time, server retry.Incarnation) (ended bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.servers[server]
@@ -137,9 +221,8 @@
 	if s.without < limitEndResponses || sentAt.Sub(s.statedAt) < limitEndHold {
 		return false
 	}
-	s.rate = 0
-	l.limited--
-	return true
+	s.learntAt, s.ownAt = now, now
+	return l.end(s)
 }
 
 // Any reports whether some server has a limit.
@@ -222,9 +305,7 @@
 func (l *Servers) removeOld(now time.Time) {
 	for server, s := range l.servers {
 		if s.rate == 0 || now.Sub(s.statedAt) > limitHold {
-			if s.rate > 0 {
-				l.limited--
-			}
+			l.end(s)
 			delete(l.servers, server)
 		}
 	}
--- a/limit/server_test.go
+++ b/limit/server_test.go
@@ -25,7 +25,7 @@
 		sent time.Duration
 		want bool
 	}{{-time.Second, false}, {0, false}, {time.Second, false}, {2 * time.Second, false}, {limitEndHold, true}, {limitEndHold + 1, false}} {
-		if got := l.NotStated(at.Add(test.sent), server); got != test.want {
+		if got := l.NotStated(at.Add(test.sent), at.Add(test.sent), server); got != test.want {
 			t.Errorf("a request sent after %v: ended %v, want %v", test.sent, got, test.want)
 		}
 	}
@@ -128,7 +128,7 @@
 								g.told = now
 							}
 						} else {
-							g.limits.NotStated(now, server)
+							g.limits.NotStated(now, now, server)
 						}
 					}
 				}
@@ -146,6 +146,73 @@
 	})
 }
 
+// TestFallenServerLimitIsExceeded guards against gateways that go on with an earlier,
+// higher limit of a server, or with none, because others got the responses that state the
+// new one. Gateways report what they learn each half second, to a quarter of the others.
+func TestFallenServerLimitIsExceeded(t *testing.T) {
+	const (
+		step      = 50 * time.Millisecond
+		perRound  = 10              // steps between two rounds of reports
+		contact   = 3 * time.Second // from the first response with a limit until it must be known
+		phaseTime = 10 * time.Second
+	)
+	server := retry.Incarnation{ID: "i-1"}
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{2, 4, 27, 68}).Draw(t, "gateways")
+		gateways := make([]*Servers, n)
+		for i := range gateways {
+			gateways[i] = NewServers()
+		}
+		now := time.Unix(1000, 0)
+		steps := 0
+		for range rapid.IntRange(2, 4).Draw(t, "phases") {
+			rate := rapid.SampledFrom([]float64{0, 0.05, 0.5, 1, 4.9, 20, 500}).Draw(t, "limit")
+			first := rapid.IntRange(0, n-1).Draw(t, "first gateway with demand")
+			then := rapid.IntRange(0, n-1).Draw(t, "last gateway with demand")
+			var arrivals []time.Time
+			start, stated := now, time.Time{}
+			for ; now.Before(start.Add(phaseTime)); now = now.Add(step) {
+				for i, g := range gateways {
+					// Demand at some gateways, and after contact at all of them.
+					if now.Sub(start) < contact && (i < first || i > then) || !g.Take(now, server, Share{Gateways: n, Position: i}) {
+						continue
+					}
+					if !stated.IsZero() && now.Sub(stated) >= contact {
+						arrivals = append(arrivals, now)
+					}
+					if rate > 0 {
+						if stated.IsZero() {
+							stated = now
+						}
+						g.Stated(now, server, rate)
+					} else {
+						g.NotStated(now, now, server)
+					}
+				}
+				if steps++; steps%perRound == 0 {
+					for i, g := range gateways {
+						for _, r := range g.Reports(now) {
+							for to := range gateways {
+								if to != i && (to+steps/perRound)%4 == 0 {
+									gateways[to].Apply(now, r)
+								}
+							}
+						}
+					}
+				}
+			}
+			for i, first := 0, 0; i < len(arrivals); i++ {
+				for arrivals[i].Sub(arrivals[first]) > limitPeriod {
+					first++
+				}
+				if allowed := limitTolerance*rate*limitPeriod.Seconds() + limitExtra; float64(i-first+1) > allowed {
+					t.Fatalf("%d requests of %d gateways within %v, allowed %g for a limit of %g", i-first+1, n, limitPeriod, allowed, rate)
+				}
+			}
+		}
+	})
+}
+
 // TestGatewayWithoutPartOfTheLimitFindsItsEnd guards against a gateway that never learns
 // that a limit has ended because it may send the server no request.
 func TestGatewayWithoutPartOfTheLimitFindsItsEnd(t *testing.T) {
@@ -157,7 +224,7 @@
 	for now := at; now.Before(at.Add(2 * (silence + 340*probeInterval))); now = now.Add(time.Second) {
 		if l.Take(now, server, share) {
 			sent++
-			l.NotStated(now, server)
+			l.NotStated(now, now, server)
 		}
 		if !l.Any() {
 			if sent != limitEndResponses {
