Log the pause that each response asks for, and count the requests in it

Observability for the incident in which a backend server got requests in a pause that it had asked for. Logs could not tell a refusal that asks for no pause from one whose pause was not recorded.

attempt_ended has asked_pause_ms; sesamectl incident lists the pauses with the requests that were written in them. No decision changes.

--- a/ctl/decisions.go
+++ b/ctl/decisions.go
@@ -118,13 +118,14 @@
 	*decisionlog.Summary
 	BusiestRetryWindows   []decisionlog.RetryWindow
 	BusiestLimitedWindows []decisionlog.ServerLimitWindow
+	Pauses                []decisionlog.Pause
 }
 
 // Run prints how often each outcome of requests occurred by route, each result of
 // attempts by backend server, and each change of observed state within the window,
 // most frequent first; and of the entire log, for each service the retry window with the
 // most retries, and for each backend server that stated a limit the window with the
-// most requests.
+// most requests, and the pauses that backend servers asked for.
 func (i *Incident) Run(out *Output) error {
 	log, err := i.read()
 	if err != nil {
@@ -133,8 +134,9 @@
 	summary := log.Summarize(i.From, i.Until)
 	busiest := log.BusiestRetryWindows(i.RetryWindow)
 	limited := log.BusiestLimitedWindows(i.LimitWindow)
+	pauses := log.Pauses(pauseReaction)
 	if out.Format == FormatJSON {
-		return out.json(incidentReport{summary, busiest, limited})
+		return out.json(incidentReport{summary, busiest, limited, pauses})
 	}
 	out.printf("%d lines, %d dropped by the processes\n", summary.Lines, summary.Dropped)
 	for _, table := range []struct {
@@ -148,10 +150,24 @@
 	}
 	printRetryWindows(out, busiest[:min(len(busiest), i.Most)])
 	printLimitedWindows(out, limited[:min(len(limited), i.Most)])
+	printPauses(out, pauses[:min(len(pauses), i.Most)])
 	printUnreadable(out, log)
 	return nil
 }
 
+// pauseReaction is how long after a response that asks for a pause requests may still
+// be written.
+const pauseReaction = 500 * time.Millisecond
+
+// printPauses prints the pauses that backend servers asked for, with the requests that
+// were written in them.
+func printPauses(out *Output, pauses []decisionlog.Pause) {
+	out.printf("most requests in a pause that a backend server asked for\n")
+	for _, p := range pauses {
+		out.printf("  %6d  %s by %s from %s to %s\n", p.Requests, p.Server, p.VM, p.From.UTC().Format("15:04:05.000"), p.Until.UTC().Format("15:04:05.000"))
+	}
+}
+
 // printLimitedWindows prints the windows with the most requests to backend servers that
 // stated a limit, with what each gateway sent in them.
 func printLimitedWindows(out *Output, windows []decisionlog.ServerLimitWindow) {
--- a/decisionlog/decisionlog.go
+++ b/decisionlog/decisionlog.go
@@ -33,6 +33,7 @@
 	EventNoCapacity         = "request_turned_away"
 	EventCallerDisconnected = "caller_gone"
 	EventRetryDecided       = "retry_decided"
+	EventLateResponse       = "late_response"
 	EventServerLimited      = "backend_limited"
 	EventServerUnlimited    = "backend_unlimited"
 )
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -311,6 +311,9 @@
 	if !active.writtenAt.IsZero() {
 		fields["written_ms"] = active.writtenAt.Sub(sentAt).Milliseconds()
 	}
+	if active.askedPause > 0 {
+		fields["asked_pause_ms"] = active.askedPause.Milliseconds()
+	}
 	if cause != "" {
 		fields["cause"] = cause
 	}
@@ -348,6 +351,8 @@
 	tracker *routing.Attempt
 	// writtenAt is when the request began to be written; zero if it was not.
 	writtenAt time.Time
+	// askedPause is the pause that the response asked for; zero if it asked for none.
+	askedPause time.Duration
 }
 
 // exchange sends the request of an attempt and forwards its response. It also
@@ -408,6 +413,7 @@
 		s.deps.View.MarkLeaving(server)
 	}
 	if info.Pause > 0 {
+		active.askedPause = info.Pause
 		s.recordPause(server, info.Pause)
 	}
 	s.recordLimit(active, info)
