--- a/retry/pushback_test.go
+++ b/retry/pushback_test.go
@@ -64,3 +64,12 @@
 		t.Errorf("after a later pause: a caller returns after %v, want a minute", got)
 	}
 }
+
+// TestLongPauseEndsEarly guards against a pause of some minutes that ends after one.
+func TestLongPauseEndsEarly(t *testing.T) {
+	p, server := NewPushback(), Incarnation{ID: "i-1"}
+	p.Ask(epoch, server, 5*time.Minute)
+	if _, paused := p.Until(epoch.Add(4*time.Minute), server); !paused {
+		t.Error("a pause of 5 minutes has ended after 4")
+	}
+}
