Read the responses that arrive just after their request was given up

What operators would see: a server that refuses each request at its deadline and asks for a pause gets all further requests of the gateway; also its limit, and that it is leaving, stay unknown.

Cause: the end of a request's context closed the connection at once, so that a response that was under way was lost. A server whose queue is too long refuses at the deadline that it was given, which ends for it as much later than for the gateway as the request was under way.

Change: before the head of the response has arrived, the end of the context closes only the sending side; the head is awaited for up to 150 ms, by a goroutine of its own, and what it states about the server is applied and logged (late_response). The final response to the caller is sent at once, as before, and nothing of the late one reaches it.

Why it works: the server sees the end of the request as before and stops, and its refusal is on the way for one network delay.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -367,6 +367,7 @@
 		MaxConnections: s.connectionLimit(req),
 		MatchesRequest: func(h http.Header) bool { return s.deps.Codec.Matches(requestInfo, h) },
 		Admit:          func() bool { return s.admitSend(req, active) },
+		OnLateResponse: func(status int, h http.Header) { s.applyLateResponse(requestInfo.ID, active, status, h) },
 	})
 	if err != nil {
 		if !upstream.NotSent(err) {
@@ -399,6 +400,20 @@
 	return result, ""
 }
 
+// applyLateResponse applies what a backend server states about itself in a response to a
+// request that was given up.
+func (s *Server) applyLateResponse(request string, active *activeAttempt, status int, h http.Header) {
+	info := s.deps.Codec.DecodeResponse(status, h)
+	late := &activeAttempt{chosenServer: active.chosenServer, writtenAt: active.writtenAt}
+	s.applyStatements(late, info)
+	s.metrics.lateResponses.Inc(1)
+	fields := logrus.Fields{"event": "late_response", "request": request, "server": late.server.ID, "status": status}
+	if late.askedPause > 0 {
+		fields["asked_pause_ms"] = late.askedPause.Milliseconds()
+	}
+	s.deps.Log.WithFields(fields).Info("response of a backend server to a request that was given up")
+}
+
 // applyStatements applies what a backend server states about itself in the head of a
 // response. Attempts in flight go on.
 func (s *Server) applyStatements(active *activeAttempt, info ResponseInfo) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,7 @@
 	pauses              gometrics.Counter
 	pushbacks           gometrics.Counter
 	limitChanges        gometrics.Counter
+	lateResponses       gometrics.Counter
 	withheld            gometrics.Counter
 }
 
@@ -32,6 +33,7 @@
 		pushbacks:           registry.Counter("sesame_gateway_backend_pauses_total"),
 		limitChanges:        registry.Counter("sesame_gateway_backend_limit_changes_total"),
 		withheld:            registry.Counter("sesame_gateway_sends_withheld_total"),
+		lateResponses:       registry.Counter("sesame_gateway_late_responses_total"),
 		pauses:              registry.Counter("sesame_gateway_pauses_total"),
 		truncatedResponses:  registry.Counter("sesame_gateway_answers_cut_total"),
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -16,9 +16,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,6 +47,10 @@
 	// bodyGracePeriod limits the time to send the rest of a request body after
 	// the response is complete.
 	bodyGracePeriod = 500 * time.Millisecond
+	// lateResponseTime is how long after the end of a request the head of its response
+	// is awaited. A server that refuses a request at its deadline does so as much later
+	// than the gateway gives up as the request was under way.
+	lateResponseTime = 150 * time.Millisecond
 	// readBufferBytes is enough for a response head and some events.
 	readBufferBytes = 4 << 10
 	// maxInlineBodyBytes is the largest body that Do writes itself, together
@@ -271,6 +277,9 @@
 	// MatchesRequest, if set, reports whether a response with these headers
 	// belongs to this request.
 	MatchesRequest func(http.Header) bool
+	// OnLateResponse, if set, is called with the head of a response that arrives within
+	// lateResponseTime after the context of Do has ended.
+	OnLateResponse func(status int, header http.Header)
 	// Admit, if set, is called by Do right before it begins to write the request, which
 	// may have waited for a connection. If it returns false, the request is not written.
 	Admit func() bool
@@ -289,6 +298,8 @@
 	// Response is the head of the response. Read its body with Read, not
 	// through Response.Body.
 	Response *http.Response
+	// headRead is true if the head of the response was read.
+	headRead atomic.Bool
 	// complete is true if the response was read to its end.
 	complete bool
 	// closed is true if the exchange no longer owns the connection.
@@ -305,7 +316,10 @@
 
 // Do sends a request and returns after reading the head of its response.
 // Cancelling the context closes the connection, also while the body is read, so that
-// the backend server can stop working on the request.
+// the backend server can stop working on the request. Before the head was read it closes
+// only the sending side, and the rest when the head has arrived or lateResponseTime has
+// passed: what a server states about itself in a late response still counts. Do returns
+// at once in either case.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Exchange, error) {
 	c := p.takeIdle(r.Address)
 	if c == nil {
@@ -315,7 +329,7 @@
 		}
 	}
 	e := &Exchange{pool: p, conn: c, writeDone: make(chan error, 1)}
-	e.stopCancel = context.AfterFunc(ctx, func() { c.nc.Close() })
+	e.stopCancel = context.AfterFunc(ctx, e.cancel)
 	if ctx.Err() != nil {
 		e.Abort()
 		return nil, errors.Join(ErrNotSent, ctx.Err())
@@ -326,12 +340,42 @@
 	}
 	e.writeRequest(r)
 	if err := e.readResponseHead(r); err != nil {
-		e.Abort()
+		if ctx.Err() != nil && r.OnLateResponse != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+			go e.awaitLateResponse(r)
+		} else {
+			e.Abort()
+		}
 		return nil, err
 	}
+	e.headRead.Store(true)
+	if ctx.Err() != nil { // cancel may have run before
+		c.nc.Close()
+	}
 	return e, nil
 }
 
+// cancel ends the exchange when its context has ended: reads fail.
+func (e *Exchange) cancel() {
+	if e.headRead.Load() {
+		e.conn.nc.Close()
+		return
+	}
+	_ = e.conn.nc.SetDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
+// awaitLateResponse closes the sending side of the connection, reports the head of the
+// response if it arrives soon, and closes the connection.
+func (e *Exchange) awaitLateResponse(r *Request) {
+	defer e.Abort()
+	_ = e.conn.nc.SetReadDeadline(time.Now().Add(lateResponseTime)) // fails only on a closed connection
+	if tcp, ok := e.conn.nc.(*net.TCPConn); ok && tcp.CloseWrite() != nil {
+		return
+	}
+	if err := e.readResponseHead(r); err == nil {
+		r.OnLateResponse(e.Response.StatusCode, e.Response.Header)
+	}
+}
+
 // keepUnused returns a connection to the pool on which nothing was written.
 func (e *Exchange) keepUnused() {
 	if !e.stopCancel() {
