--- a/gateway/serverlimit.go
+++ b/gateway/serverlimit.go
@@ -24,19 +24,6 @@
 	return s.limits.Next(now, incarnationOf(b), s.limitShare(b))
 }
 
-// admitSend decides whether a request that is about to be written is sent. The server
-// may have stated a limit, or other requests may have reached it, since the choice.
-func (s *Server) admitSend(req *request, active *activeAttempt) bool {
-	now := s.deps.Clock.Now()
-	if s.limits.Any() && !s.limits.Take(now, incarnationOf(active.server), s.limitShare(active.server)) {
-		s.metrics.withheld.Inc(1)
-		return false
-	}
-	active.writtenAt = now
-	s.useRetry(req)
-	return true
-}
-
 // recordLimit records whether the response to an attempt states a limit of the backend
 // server. A response of unknown origin, or with an invalid limit, says nothing.
 func (s *Server) recordLimit(active *activeAttempt, info ResponseInfo) {
