Keep pauses of up to ten minutes

What operators would see: a server that asks for a pause of some minutes gets requests after one.

Cause: pauses were cut to a minute, against damaged numbers. A server in need may well name some minutes. Evidence: TestLongPauseEndsEarly, a pause of 5 minutes has ended after 4.

Change: the bound is ten minutes. A damaged number takes a server out for that long at one gateway, or until it restarts.

The test failed before, listed as known red; go test ./retry and the tests of pauses of ./platform pass.

--- a/retry/pushback.go
+++ b/retry/pushback.go
@@ -8,7 +8,7 @@
 const (
 	// MaxPushback bounds a pause that a server asks for: a damaged number must not
 	// take it out for good.
-	MaxPushback = time.Minute
+	MaxPushback = 10 * time.Minute
 	// maxPushbackServers limits the servers whose pauses are remembered; further ones
 	// replace those that have ended.
 	maxPushbackServers = 4096
