--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -47,10 +47,6 @@
 	// bodyGracePeriod limits the time to send the rest of a request body after
 	// the response is complete.
 	bodyGracePeriod = 500 * time.Millisecond
-	// lateResponseTime is how long after the end of a request the head of its response
-	// is awaited. A server that refuses a request at its deadline does so as much later
-	// than the gateway gives up as the request was under way.
-	lateResponseTime = 150 * time.Millisecond
 	// readBufferBytes is enough for a response head and some events.
 	readBufferBytes = 4 << 10
 	// maxInlineBodyBytes is the largest body that Do writes itself, together
@@ -354,28 +350,6 @@
 	return e, nil
 }
 
-// cancel ends the exchange when its context has ended: reads fail.
-func (e *Exchange) cancel() {
-	if e.headRead.Load() {
-		e.conn.nc.Close()
-		return
-	}
-	_ = e.conn.nc.SetDeadline(time.Unix(1, 0)) // fails only on a closed connection
-}
-
-// awaitLateResponse closes the sending side of the connection, reports the head of the
-// response if it arrives soon, and closes the connection.
-func (e *Exchange) awaitLateResponse(r *Request) {
-	defer e.Abort()
-	_ = e.conn.nc.SetReadDeadline(time.Now().Add(lateResponseTime)) // fails only on a closed connection
-	if tcp, ok := e.conn.nc.(*net.TCPConn); ok && tcp.CloseWrite() != nil {
-		return
-	}
-	if err := e.readResponseHead(r); err == nil {
-		r.OnLateResponse(e.Response.StatusCode, e.Response.Header)
-	}
-}
-
 // keepUnused returns a connection to the pool on which nothing was written.
 func (e *Exchange) keepUnused() {
 	if !e.stopCancel() {
