Let all of a few gateways use the limit of a server

What callers would see: in a deployment of four gateways and a limit of one request a second, one gateway never uses the server, and its callers are refused when all servers are limited.

Cause: the first r + 2 gateways used a limit of r, also where the bursts of all of them fit; the room for requests of gateways without a share was kept where there are none. Evidence: TestOneOfFourGatewaysHasNoShare, a wait of 15 s at a limit of 1, at most 4 s wanted.

Change: up to r + 4 gateways use the limit, all of them; of more, the first r + 2 as before.

The test failed before.

--- a/limit/server.go
+++ b/limit/server.go
@@ -25,13 +25,16 @@
 	limitEndHold = 4 * time.Second
 	// limitEndResponses is how many responses in a row must state no limit to end it.
 	limitEndResponses = 2
-	// extraHolders is the number of gateways that may use a limit in addition to one for
-	// each request per second that it allows.
-	extraHolders = 2
+	// extraHolders is the number of gateways that may all use a limit in addition to one
+	// for each request per second that it allows. If there are more gateways, probeReserve
+	// fewer use it: the others send requests to find out whether it still holds.
+	extraHolders = 4
+	probeReserve = 2
 	// The bursts of all gateways together are burstSeconds of the limited rate, and
-	// extraBurst requests. Each holder has a burst of more than one request.
+	// extraBurst requests, or one fewer if there are gateways without a share. Each holder
+	// has a burst of at least one request.
 	burstSeconds = 1.25
-	extraBurst   = 3.0
+	extraBurst   = 4.0
 	// silence is how long a gateway that is no holder must have heard nothing of a limit
 	// before it sends a request to find out whether the limit still holds. The gateways
 	// that are no holders do so one after another, each within probeInterval.
@@ -255,27 +258,29 @@
 	if s.next(now, share).At.After(now) {
 		return false
 	}
-	if share.Position < holders(s.rate, share.Gateways) {
+	if holders, _ := divide(s.rate, share.Gateways); share.Position < holders {
 		s.tokens--
 	}
 	s.heardAt = now // a further request of this gateway would tell nothing more
 	return true
 }
 
-// holders returns how many of the gateways use a limit.
-func holders(rate float64, gateways int) int {
-	return int(min(float64(max(1, gateways)), rate+extraHolders))
+// divide returns how many of the gateways use a limit, and their bursts together.
+func divide(rate float64, gateways int) (holders int, burst float64) {
+	if float64(gateways) <= rate+extraHolders {
+		return max(1, gateways), burstSeconds*rate + extraBurst
+	}
+	return int(rate + extraHolders - probeReserve), burstSeconds*rate + extraBurst - 1
 }
 
 // next returns when the gateway may send the next request.
 func (s *serverLimit) next(now time.Time, share Share) Allowance {
-	n := holders(s.rate, share.Gateways)
+	n, bursts := divide(s.rate, share.Gateways)
 	if share.Position >= n {
 		return Allowance{Limited: true, At: s.nextProbe(now, share, n), ReturnAt: now.Add(seconds(1 / s.rate)), Interval: seconds(1 / s.rate)}
 	}
 	rate := s.rate / float64(n)
-	burst := (burstSeconds*s.rate + extraBurst) / float64(n)
-	s.tokens = min(burst, s.tokens+rate*now.Sub(s.tokensAt).Seconds())
+	s.tokens = min(bursts/float64(n), s.tokens+rate*now.Sub(s.tokensAt).Seconds())
 	s.tokensAt = now
 	at := now
 	if s.tokens < 1 {
--- a/limit/server_test.go
+++ b/limit/server_test.go
@@ -213,6 +213,21 @@
 	})
 }
 
+// TestOneOfFourGatewaysHasNoShare guards against a gateway of a small deployment that
+// cannot use a server with a low limit at all.
+func TestOneOfFourGatewaysHasNoShare(t *testing.T) {
+	for _, rate := range []float64{0.05, 0.5, 1, 4.9} {
+		for position := range 4 {
+			l, server, at := NewServers(), retry.Incarnation{ID: "i-1"}, time.Unix(1000, 0)
+			l.Stated(at, server, rate)
+			a := l.Next(at, server, Share{Gateways: 4, Position: position})
+			if wait := a.At.Sub(at).Seconds(); wait > 4/rate+0.001 {
+				t.Errorf("limit %g: gateway %d waits %.1f s for its first request, want at most %.1f s", rate, position, wait, 4/rate)
+			}
+		}
+	}
+}
+
 // TestGatewayWithoutPartOfTheLimitFindsItsEnd guards against a gateway that never learns
 // that a limit has ended because it may send the server no request.
 func TestGatewayWithoutPartOfTheLimitFindsItsEnd(t *testing.T) {
