Leave a connection open in both directions at the deadline of a request

What operators would see: where something between gateway and server takes the end of one direction for the end of both, pauses that are asked for at the deadline are still lost.

Cause: the sending side was closed at the end of every request, to let the server stop.

Change: only a request whose caller has left closes the sending side at once.

TestRecordedPlansPass/pauses_asked_for_at_the_deadline failed before.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -17,6 +17,13 @@
 // of the requested routes plus the longest fault.
 const callTimeout = 20 * time.Second
 
+// Timeouts that callers state: one call in shortCallShare has the short one.
+const (
+	longCallTimeout  = 5 * time.Second
+	shortCallTimeout = 200 * time.Millisecond
+	shortCallShare   = 6
+)
+
 // call is one request of a caller and the response to it.
 type call struct {
 	// id is unique in the test, route the first element of the path, key the API key.
@@ -26,6 +33,8 @@
 	// routeVersion is the configuration version that added the route. It is zero
 	// for a route that all versions have.
 	routeVersion int
+	// timeout is how long the caller says that it waits.
+	timeout time.Duration
 	// gateway is the gatewayIncarnation of the caller.
 	gateway            string
 	startedAt, endedAt time.Time
@@ -112,7 +121,10 @@
 	cl.deployment.mu.Lock()
 	version := cl.deployment.version
 	cl.deployment.mu.Unlock()
-	c := &call{id: fmt.Sprintf("%s-%d", cl.name, n), key: fmt.Sprintf("key-%d", cl.rng.IntN(initialKeyCount)), gateway: cl.gatewayIncarnation}
+	c := &call{id: fmt.Sprintf("%s-%d", cl.name, n), key: fmt.Sprintf("key-%d", cl.rng.IntN(initialKeyCount)), gateway: cl.gatewayIncarnation, timeout: longCallTimeout}
+	if cl.rng.IntN(shortCallShare) == 0 {
+		c.timeout = shortCallTimeout
+	}
 	switch x := cl.rng.IntN(100); {
 	case x < 35:
 		c.route = "safe"
@@ -135,7 +147,7 @@
 	cl.requestsOnConn++
 	defer func() { c.endedAt = time.Now() }()
 	_ = cl.conn.SetDeadline(c.startedAt.Add(callTimeout)) // fails only on a closed connection, on which the write fails as well
-	if _, c.err = io.WriteString(cl.conn, standin.CallerRequest("/"+c.route+"/x", c.id, c.key, "body of "+c.id)); c.err != nil {
+	if _, c.err = io.WriteString(cl.conn, standin.CallerRequest("/"+c.route+"/x", c.id, c.key, "body of "+c.id, c.timeout)); c.err != nil {
 		return
 	}
 	response, err := http.ReadResponse(cl.reader, nil)
--- a/soak/check.go
+++ b/soak/check.go
@@ -55,7 +55,10 @@
 	// statesLimit is true if the response stated a limit.
 	statesLimit bool
 	// pause is how long the server asked the gateway to send nothing; zero if it did not.
-	pause time.Duration
+	// askedAt is when it did, at the deadline of the request if late is true.
+	pause   time.Duration
+	askedAt time.Time
+	late    bool
 }
 
 // observations is what callers and backend servers observed. Its methods are safe
@@ -321,13 +324,16 @@
 	for p, requests := range received {
 		for _, asked := range requests {
 			n := 0
+			if asked.late && !d.undisrupted(asked.receivedAt, asked.askedAt.Add(pauseReactionTime)) {
+				continue // a partition or a pause of the gateway may have lost the response
+			}
 			for _, r := range requests {
-				if r.receivedAt.After(asked.receivedAt.Add(pauseReactionTime)) && r.receivedAt.Before(asked.receivedAt.Add(asked.pause)) {
+				if r.receivedAt.After(asked.askedAt.Add(pauseReactionTime)) && r.receivedAt.Before(asked.askedAt.Add(asked.pause)) {
 					n++
 				}
 			}
 			if n > maxRequestsInPause {
-				found = append(found, Violation{pausedServerUnused, fmt.Sprintf("%s received %d requests of %s in a pause of %v from %.2fs", p.server, n, p.gateway, asked.pause, asked.receivedAt.Sub(d.startedAt).Seconds())})
+				found = append(found, Violation{pausedServerUnused, fmt.Sprintf("%s received %d requests of %s in a pause of %v from %.2fs", p.server, n, p.gateway, asked.pause, asked.askedAt.Sub(d.startedAt).Seconds())})
 			}
 		}
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -26,6 +26,7 @@
 	StoreRestore     = "store restored from an older copy"
 	ServerLeaves     = "backend server states that it is leaving"
 	ServerAsksPause  = "backend server refuses and asks for a pause"
+	ServerAsksLate   = "backend server refuses at the deadline and asks for a pause"
 	ServerLimits     = "backend server limits its rate of requests"
 )
 
@@ -43,7 +44,7 @@
 var faultKinds = []string{
 	KillGateway, TerminateGateway, PauseGateway, StoreOutage, StoreCompaction, StoreLinkFault, ServerLinkFault,
 	ServerErrors, ServerTruncates, ServerRefuses, ServerDrains, ConfigChange, KeyRevocation, SettingsReload,
-	StoreRestore, ServerLeaves, ServerAsksPause, ServerLimits,
+	StoreRestore, ServerLeaves, ServerAsksPause, ServerLimits, ServerAsksLate,
 }
 
 // Fault is one fault of a plan.
--- a/soak/server.go
+++ b/soak/server.go
@@ -21,6 +21,9 @@
 	// minAskedPause and maxAskedPause bound the pause that a server asks for.
 	minAskedPause = 300 * time.Millisecond
 	maxAskedPause = 6 * time.Second
+	// lateRefusalDelay is how long after the deadline of the gateway a late refusal
+	// arrives, as on a link with a delay.
+	lateRefusalDelay = 5 * time.Millisecond
 	// limitHold is how much longer than other faults a limit is stated.
 	limitHold = 5 * time.Second
 )
@@ -177,6 +180,10 @@
 		d.leave(s, f.Variant%2 == 0)
 	case ServerLimits:
 		d.limitRate(s, limitRates[f.Variant], f.For+limitHold)
+	case ServerAsksLate: // interrupts no response
+		set(f.Kind)
+		time.Sleep(f.For)
+		set("")
 	default:
 		d.disrupt(f, func() { set(f.Kind) }, func() { set("") })
 	}
@@ -265,12 +272,18 @@
 		server: s.ID, service: s.service, receivedAt: time.Now(), drainingSince: drainingSince, account: e.Tenant(), hasKey: e.HasKey(),
 		refused: activeFault == ServerRefuses || e.ExpectedReplica() != s.ID, statesLeaving: e.HeaderLine(headerLeaving) != "", statesLimit: e.HeaderLine(headerLimit) != "",
 	}
-	if activeFault == ServerAsksPause && !r.refused {
+	r.askedAt = r.receivedAt
+	r.late = activeFault == ServerAsksLate && e.TimeRemaining() <= shortCallTimeout
+	if r.late {
+		r.askedAt = r.receivedAt.Add(e.TimeRemaining() + lateRefusalDelay)
+	}
+	if (activeFault == ServerAsksPause || r.late) && !r.refused {
 		r.refused, r.pause = true, minAskedPause+time.Duration(rand.Int64N(int64(maxAskedPause-minAskedPause)))
 	}
 	id := e.RequestID()
 	firstRun := d.history.addReceived(id, r)
 	if r.pause > 0 {
+		time.Sleep(time.Until(r.askedAt))
 		e.Refuse(503, fmt.Sprintf("Retry-After: %.3f", r.pause.Seconds()))
 		return true
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,6 +35,13 @@
 			{Kind: soak.ServerAsksPause, At: second, For: 2 * second, Target: 0, Variant: 1},
 			{Kind: soak.ServerAsksPause, At: second, For: 2 * second, Target: 1, Variant: 0},
 		},
+		// All servers of a service refuse some requests at their deadline and ask for pauses.
+		// Gateways that close the connection at the deadline never learn of them.
+		"pauses asked for at the deadline": {
+			{Kind: soak.ServerAsksLate, At: second, For: 3 * second, Variant: 0},
+			{Kind: soak.ServerAsksLate, At: second, For: 3 * second, Variant: 1},
+			{Kind: soak.ServerAsksLate, At: second, For: 3 * second, Variant: 2},
+		},
 		// A gateway that received the signal to reload its settings while it started
 		// was ended by the signal, because it handled signals only after it had read
 		// its settings. The failure was found with seed 16.
--- a/upstream/late.go
+++ b/upstream/late.go
@@ -19,12 +19,13 @@
 	_ = e.conn.nc.SetDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
-// awaitLateResponse closes the sending side of the connection, reports the head of the
-// response if it arrives soon, and closes the connection.
-func (e *Exchange) awaitLateResponse(r *Request) {
+// awaitLateResponse reports the head of the response if it arrives soon, and closes the
+// connection. If the request was cancelled, it closes the sending side first, so that the
+// server stops working on the request.
+func (e *Exchange) awaitLateResponse(r *Request, cancelled bool) {
 	defer e.Abort()
 	_ = e.conn.nc.SetReadDeadline(time.Now().Add(lateResponseTime)) // fails only on a closed connection
-	if tcp, ok := e.conn.nc.(*net.TCPConn); ok && tcp.CloseWrite() != nil {
+	if tcp, ok := e.conn.nc.(*net.TCPConn); ok && cancelled && tcp.CloseWrite() != nil {
 		return
 	}
 	if err := e.readResponseHead(r); err == nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -175,10 +175,11 @@
 
 // Do sends a request and returns after reading the head of its response.
 // Cancelling the context closes the connection, also while the body is read, so that
-// the backend server can stop working on the request. Before the head was read it closes
-// only the sending side, and the rest when the head has arrived or lateResponseTime has
-// passed: what a server states about itself in a late response still counts. Do returns
-// at once in either case.
+// the backend server can stop working on the request. Before the head was read, the
+// connection is closed when the head has arrived or lateResponseTime has passed, and only
+// its sending side at once: what a server states about itself in a late response still
+// counts. At the deadline of the context the sending side stays open, too, as the server
+// knows the deadline. Do returns at once in either case.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Exchange, error) {
 	c := p.takeIdle(r.Address)
 	if c == nil {
@@ -200,7 +201,7 @@
 	e.writeRequest(r)
 	if err := e.readResponseHead(r); err != nil {
 		if ctx.Err() != nil && r.OnLateResponse != nil && errors.Is(err, os.ErrDeadlineExceeded) {
-			go e.awaitLateResponse(r)
+			go e.awaitLateResponse(r, errors.Is(ctx.Err(), context.Canceled))
 		} else {
 			e.Abort()
 		}
