Log the share with which a gateway keeps to a limit

The line backend_limited told the limit, not whether this gateway has a share of it, nor among how many gateways it divides it.

Change: position and gateways in backend_limited. Reports of peers are applied without the lock of the peers, which the position needs: with it the gateway would stop at the first report (TestReportOfLimitBlocksGateway guards that).

--- a/gateway/limitreports_test.go
+++ b/gateway/limitreports_test.go
@@ -91,3 +91,27 @@
 		t.Errorf("the reports have %d bytes, want some, and at most %d", size, maxLimitReportBytes)
 	}
 }
+
+// TestReportOfLimitBlocksGateway guards against a gateway that stops when a peer reports a
+// limit, because it applies the report while it holds a lock that the log line needs.
+func TestReportOfLimitBlocksGateway(t *testing.T) {
+	sim := newBudgetSimulation(2)
+	from, to := sim.gateways[0], sim.gateways[1]
+	from.peers.Limits, to.peers.Limits = from.server, to.server
+	server := retry.Incarnation{ID: "i-1", StartedAtMs: 7}
+	from.server.limits.Stated(sim.clock.Now(), server, 2)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, message := from.peers.nextRound()
+		to.peers.handleMessage(message)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second): // only to detect a hang
+		t.Fatal("the gateway is blocked")
+	}
+	if a := to.server.limits.Next(sim.clock.Now(), server, limit.Share{Gateways: 2}); !a.Limited {
+		t.Error("the reported limit is not known")
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -436,14 +436,21 @@
 }
 
 // handleMessage applies a message: it records the sender and the listed peers,
-// and applies the load hints.
+// and applies the load hints and the reports about limits.
 func (p *Peers) handleMessage(message peerMessage) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if _, err := netip.ParseAddrPort(message.From); err != nil || message.From == p.address {
 		return
 	}
 	now := p.clock.Now()
+	p.recordMessage(now, message)
+	p.applyLimitEntries(now, message) // without mu, which Position needs
+}
+
+// recordMessage records the sender and the listed peers of a message, and applies the
+// load hints.
+func (p *Peers) recordMessage(now time.Time, message peerMessage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	sender, isKnown := p.known[message.From]
 	if !isKnown {
 		sender.knownSince = now
@@ -460,7 +467,6 @@
 	}
 	p.known[message.From] = sender
 	p.recordSharing(now, message)
-	p.applyLimitEntries(now, message)
 	if len(message.Hints) > 0 {
 		ttl := max(minHintTTL, hintTTLIntervals*hintIntervalFor(p.liveCountAt(now)))
 		p.hints.ApplyHints(now, now.Add(ttl), message.From, message.Hints)
--- a/gateway/serverlimit.go
+++ b/gateway/serverlimit.go
@@ -59,5 +59,6 @@
 		entry.WithField("event", "backend_unlimited").Info("backend server states no limit on the rate of requests any more")
 		return
 	}
-	entry.WithFields(logrus.Fields{"event": "backend_limited", "limit_per_s": rate}).Info("backend server states a limit on the rate of requests")
+	position, gateways := s.deps.Gateways.Position(server.ID)
+	entry.WithFields(logrus.Fields{"event": "backend_limited", "limit_per_s": rate, "position": position, "gateways": gateways}).Info("backend server states a limit on the rate of requests")
 }
