Limit the heads of responses of backend servers

What callers would see: a backend server that sends header bytes without end makes a gateway use up its memory and end, with all requests that it serves.

Cause: http.ReadResponse reads a status line and header lines of any size. Evidence: one request allocates 1.9 GB within a second for a header line or a status line without end, 0.4 GB for header lines without end (TestEndlessResponseExhaustsMemory).

Change: at most 64 KB (Config.MaxHeadBytes) are read for the head of a response, together with its interim and surplus responses; then the connection is closed. The attempt counts like any broken response: the request may have run. A log line at most once a second and a metric name it.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -128,9 +128,16 @@
 		d.metrics.Counter("sesame_gateway_store_answers_ignored_total", "reason", string(verdict)).Inc(1)
 	}
 	connectionsOpened := d.metrics.Counter("sesame_gateway_connections_opened_total")
+	oversizedHeads, oversizedLines := d.metrics.Counter("sesame_gateway_oversized_heads_total"), &logInterval{}
 	surplusResponses := d.metrics.Counter("sesame_gateway_surplus_responses_total")
 	d.pool = upstream.New(upstream.Config{
 		OnDial: func(string) { connectionsOpened.Inc(1) },
+		OnOversizedHead: func(address string) {
+			oversizedHeads.Inc(1)
+			if oversizedLines.due(elapsed()) {
+				d.log.WithFields(logrus.Fields{"event": "response_head_too_large", "address": address}).Warn("response head of a backend server exceeds the limit; connection closed")
+			}
+		},
 		OnSurplus: func(address string) {
 			surplusResponses.Inc(1)
 			d.log.WithFields(logrus.Fields{"event": "surplus_response", "address": address}).Info("surplus response of a backend server to an earlier request skipped")
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -13,9 +13,10 @@
 
 // conn is one connection to a backend server.
 type conn struct {
-	nc      net.Conn
-	br      *bufio.Reader
-	address string
+	nc       net.Conn
+	received *headReader
+	br       *bufio.Reader
+	address  string
 	// usableUntil is the time until which the idle connection may be reused. The
 	// backend server is expected to close it later.
 	usableUntil time.Time
@@ -105,7 +106,8 @@
 	if p.cfg.OnDial != nil {
 		p.cfg.OnDial(address)
 	}
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), address: address}, nil
+	received := &headReader{r: nc}
+	return &conn{nc: nc, received: received, br: bufio.NewReaderSize(received, readBufferBytes), address: address}, nil
 }
 
 // noConn is passed to discard in place of a connection that could not be opened.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -39,6 +39,9 @@
 	// DefaultIdleTimeout is the idle timeout of pooled connections. A backend
 	// server can lower it with the Keep-Alive header.
 	DefaultIdleTimeout = 10 * time.Second
+	// DefaultMaxHeadBytes is the maximum size of the heads that are read for one
+	// response. It is several times what callers may send.
+	DefaultMaxHeadBytes = 64 << 10
 	// idleTimeoutFraction is the fraction of the idle timeout during which a
 	// connection is reused. The margin avoids sending a request while the
 	// backend server closes the connection.
@@ -61,6 +64,9 @@
 	// ErrConnectionLimit means that the backend server already has the maximum
 	// number of connections and that none of them is idle.
 	ErrConnectionLimit = eris.New("upstream: connection limit of the backend server reached")
+	// ErrHeadTooLarge means that the head of a response exceeds Config.MaxHeadBytes. The
+	// request may have run.
+	ErrHeadTooLarge = eris.New("upstream: response head too large")
 	// ErrNotAdmitted means that Request.Admit returned false.
 	ErrNotAdmitted = eris.New("upstream: request not admitted")
 )
@@ -76,6 +82,11 @@
 	DialTimeout time.Duration
 	UserTimeout time.Duration
 	IdleTimeout time.Duration
+	// MaxHeadBytes limits the bytes of the head of a response, together with the heads
+	// of the interim and surplus responses before it. Zero selects the default.
+	MaxHeadBytes int64
+	// OnOversizedHead, if set, is called when a server has exceeded MaxHeadBytes.
+	OnOversizedHead func(address string)
 	// OnDial, if set, is called after each new connection.
 	OnDial func(address string)
 	// OnSurplus, if set, is called after each surplus response that was skipped.
@@ -104,6 +115,9 @@
 	if cfg.IdleTimeout == 0 {
 		cfg.IdleTimeout = DefaultIdleTimeout
 	}
+	if cfg.MaxHeadBytes == 0 {
+		cfg.MaxHeadBytes = DefaultMaxHeadBytes
+	}
 	p := &Pool{cfg: cfg, idle: make(map[string][]*conn), open: make(map[string]int)}
 	p.dialer = net.Dialer{
 		Timeout: cfg.DialTimeout,
@@ -246,9 +260,17 @@
 // responses, and surplus ones: a server may respond again to the previous request
 // of the connection after that request has ended.
 func (e *Exchange) readResponseHead(r *Request) error {
+	e.conn.received.limit(e.pool.cfg.MaxHeadBytes)
+	defer e.conn.received.unlimit()
 	for range maxSkippedResponses {
 		resp, err := http.ReadResponse(e.conn.br, &http.Request{Method: r.Method}) //nolint:bodyclose // closing would read the rest of the body; Release or Abort handles the connection
 		if err != nil {
+			if e.conn.received.exceeded {
+				if e.pool.cfg.OnOversizedHead != nil {
+					e.pool.cfg.OnOversizedHead(e.conn.address)
+				}
+				return ErrHeadTooLarge
+			}
 			return eris.Wrap(err, "upstream: read response head")
 		}
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
@@ -265,7 +287,7 @@
 		if r.Method == http.MethodHead || e.conn.answered == nil || !e.conn.answered(resp.Header) {
 			return eris.New("upstream: response belongs to another request")
 		}
-		if err := skipBody(resp); err != nil {
+		if err := e.conn.skipBody(resp); err != nil {
 			return err
 		}
 		if e.pool.cfg.OnSurplus != nil {
@@ -277,7 +299,10 @@
 
 // skipBody reads the body of a surplus response to its end. It returns an error
 // if the end cannot be determined: the bytes after it belong to no request.
-func skipBody(resp *http.Response) error {
+func (c *conn) skipBody(resp *http.Response) error {
+	remaining := c.received.remaining
+	c.received.unlimit()
+	defer c.received.limit(remaining)
 	if resp.ContentLength < 0 && !isChunked(resp) {
 		return eris.New("upstream: surplus response without a length")
 	}
