Log which belief about a server withheld an attempt

attempt_ended with result=withheld did not tell whether the server had left, asked for a pause or reached its limit.

Change: field reason.

TestWithheldAttemptHasNoReason; go test ./gateway ./limit passed.

--- a/gateway/admitsend.go
+++ b/gateway/admitsend.go
@@ -1,19 +1,29 @@
 package gateway
 
+// Reasons why a request that was about to be written is not sent.
+const (
+	withheldServerGone = "server_unusable"
+	withheldPaused     = "server_paused"
+	withheldLimited    = "server_limited"
+)
+
 // admitSend decides whether a request that is about to be written is sent. Since the
 // choice, it may have waited for a connection, and the server may have asked for a pause,
 // stated a limit or left, or other requests may have reached its limit.
 func (s *Server) admitSend(req *request, active *activeAttempt) bool {
-	now := s.deps.Clock.Now()
-	if !s.deps.Directory.IsUsable(active.server) || s.paused(active.server) {
-		s.metrics.withheld.Inc(1)
-		return false
-	}
-	if s.limits.Any() && !s.limits.Take(now, incarnationOf(active.server), s.limitShare(active.server)) {
-		s.metrics.withheld.Inc(1)
-		return false
+	now, incarnation := s.deps.Clock.Now(), incarnationOf(active.server)
+	switch {
+	case !s.deps.Directory.IsUsable(active.server):
+		active.withheld = withheldServerGone
+	case s.paused(active.server):
+		active.withheld = withheldPaused
+	case s.limits.Limited(incarnation) && !s.limits.Take(now, incarnation, s.limitShare(active.server)):
+		active.withheld = withheldLimited
+	default:
+		active.writtenAt = now
+		s.useRetry(req)
+		return true
 	}
-	active.writtenAt = now
-	s.useRetry(req)
-	return true
+	s.metrics.withheld.Inc(1)
+	return false
 }
--- a/gateway/admitsend_test.go
+++ b/gateway/admitsend_test.go
@@ -36,3 +36,26 @@
 		})
 	}
 }
+
+// TestWithheldAttemptHasNoReason guards against an attempt whose log line does not tell
+// which belief about the server withheld it.
+func TestWithheldAttemptHasNoReason(t *testing.T) {
+	server := &directory.BackendServer{ID: "i-1", Service: "app", Address: "10.0.0.9:80"}
+	sim := newBudgetSimulation(1)
+	d := directory.New()
+	d.Apply(epoch, []directory.Change{{ID: "i-1", Revision: 1, Server: server}}, 1)
+	s := sim.gateways[0].server
+	s.deps.Directory = d
+	s.limits.Stated(sim.clock.Now(), incarnationOf(server), 1)
+	for _, want := range []string{withheldLimited, withheldPaused, withheldServerGone} {
+		active := &activeAttempt{chosenServer: chosenServer{server: server}}
+		if s.admitSend(&request{}, active) || active.withheld != want {
+			t.Errorf("got reason %q, want %q", active.withheld, want)
+		}
+		if want == withheldLimited {
+			s.recordPause(server, 3*time.Second)
+		} else {
+			d.MarkLeaving(epoch, server)
+		}
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -311,6 +311,9 @@
 	if !active.writtenAt.IsZero() {
 		fields["written_ms"] = active.writtenAt.Sub(sentAt).Milliseconds()
 	}
+	if active.withheld != "" {
+		fields["reason"] = active.withheld
+	}
 	if active.askedPause > 0 {
 		fields["asked_pause_ms"] = active.askedPause.Milliseconds()
 	}
@@ -351,6 +354,8 @@
 	tracker *routing.Attempt
 	// writtenAt is when the request began to be written; zero if it was not.
 	writtenAt time.Time
+	// withheld is why the request was not sent; empty if it was.
+	withheld string
 	// askedPause is the pause that the response asked for; zero if it asked for none.
 	askedPause time.Duration
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -1,8 +1,11 @@
-// Package limit bounds the request rates of client accounts at the entries,
-// without shared state. It does no I/O; time is passed in. A Limiter is safe for
-// concurrent use.
+// Package limit bounds rates of requests without shared state: those of client accounts
+// at the entries (Limiter), and those that backend servers state for all gateways together
+// (Servers). It does no I/O; time is passed in. Both are safe for concurrent use.
 //
-// Limits apply to each client account and class over all entries, and each entry
+// Servers is designed for a server in need that many gateways find attractive at the same
+// moment, as after a pause in the load: their first requests alone may exceed its limit.
+//
+// The limits of a Limiter apply to each client account and class over all entries, and each entry
 // grants an equal share of the rate and the burst. Callers may assume this
 // bound: while all n entries use the same number n, together they admit at most
 // rate*t + n*ceil(burst/n) requests of an account and class in any time t. An
