--- a/ctl/decisions.go
+++ b/ctl/decisions.go
@@ -121,14 +121,16 @@
 	Pauses                []decisionlog.Pause
 	Crashes               []decisionlog.ServerCrash
 	Quarantines           []decisionlog.Quarantine
+	MixedStreams          []decisionlog.MixedStream
 }
 
 // Run prints how often each outcome of requests occurred by route, each result of
 // attempts by backend server, and each change of observed state within the window,
 // most frequent first; and of the entire log, for each service the retry window with the
 // most retries, and for each backend server that stated a limit the window with the
-// most requests, the pauses that backend servers asked for, their crashes, and the rules
-// that kept requests away from them because of crashes.
+// most requests, the pauses that backend servers asked for, their crashes, the rules
+// that kept requests away from them because of crashes, and the streams with events of
+// several software versions.
 func (i *Incident) Run(out *Output) error {
 	log, err := i.read()
 	if err != nil {
@@ -139,8 +141,9 @@
 	limited := log.BusiestLimitedWindows(i.LimitWindow)
 	pauses := log.Pauses(pauseReaction)
 	crashes, quarantines := log.Crashes(), log.Quarantines()
+	mixed := log.MixedStreams()
 	if out.Format == FormatJSON {
-		return out.json(incidentReport{summary, busiest, limited, pauses, crashes, quarantines})
+		return out.json(incidentReport{summary, busiest, limited, pauses, crashes, quarantines, mixed})
 	}
 	out.printf("%d lines, %d dropped by the processes\n", summary.Lines, summary.Dropped)
 	for _, table := range []struct {
@@ -156,10 +159,23 @@
 	printLimitedWindows(out, limited[:min(len(limited), i.Most)])
 	printPauses(out, pauses[:min(len(pauses), i.Most)])
 	printCrashes(out, crashes[:min(len(crashes), i.Most)], quarantines[:min(len(quarantines), i.Most)])
+	printMixedStreams(out, mixed, i.Most)
 	printUnreadable(out, log)
 	return nil
 }
 
+// printMixedStreams prints the streams with events of several software versions, at most
+// the given number.
+func printMixedStreams(out *Output, streams []decisionlog.MixedStream, most int) {
+	out.printf("%d streams with events of several software versions\n", len(streams))
+	for _, stream := range streams[:min(len(streams), most)] {
+		out.printf("  %s\n", stream.ID)
+		for _, p := range stream.Parts {
+			out.printf("          %s %s as %s at %s (%s) after event %d: %d events\n", p.At.UTC().Format("15:04:05.000"), p.VM, p.Request, p.Server, p.SoftwareVersion, p.ResumeAfter, p.Events)
+		}
+	}
+}
+
 // printCrashes prints the first crashes of backend servers with the requests that may have
 // caused them, and the rules that followed.
 func printCrashes(out *Output, crashes []decisionlog.ServerCrash, quarantines []decisionlog.Quarantine) {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -33,6 +33,8 @@
 	Service    string
 	Address    string
 	DataCentre string
+	// SoftwareVersion is the version of the server's software; empty if unknown.
+	SoftwareVersion string
 	// Slots is the number of requests that the server runs concurrently.
 	Slots    int
 	Draining bool
@@ -355,7 +357,7 @@
 // interchangeable reports whether two versions differ in nothing that matters to a
 // new request.
 func interchangeable(a, b *BackendServer) bool {
-	return a.ID == b.ID && a.Address == b.Address && a.DataCentre == b.DataCentre && a.Slots == b.Slots && a.StartedAtMs == b.StartedAtMs
+	return a.ID == b.ID && a.Address == b.Address && a.DataCentre == b.DataCentre && a.SoftwareVersion == b.SoftwareVersion && a.Slots == b.Slots && a.StartedAtMs == b.StartedAtMs
 }
 
 // Usable returns the backend servers of a service that may get new requests,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -257,7 +257,7 @@
 		"version": req.table.Version, "view_age_ms": s.deps.View.Age().Milliseconds(), "left_ms": remaining.Milliseconds(), "urgency": info.Rank,
 		"cost_ms": int(chosen.choice.Cost), "read_ms": int(chosen.choice.ServiceTime), "wait_ms": int(chosen.choice.Wait), "penalty_ms": int(chosen.choice.Penalty),
 		"prompt_tokens": req.job.PromptTokens, "output_tokens": req.job.OutputTokens, "uncached_tokens": chosen.choice.UncachedTokens,
-		"resume_after": info.ResumeAfter, "fetch_from": chosen.choice.TransferSource, "sends": req.attempts, "segments": segmentList(req.Segments),
+		"resume_after": info.ResumeAfter, "resumes": req.Resumes, "software_version": chosen.server.SoftwareVersion, "started_at_ms": chosen.server.StartedAtMs, "fetch_from": chosen.choice.TransferSource, "sends": req.attempts, "segments": segmentList(req.Segments),
 		"account": account, "content": req.content,
 	}).Info("attempt sent to backend server")
 	tracker := s.deps.Scheduler.StartAttempt(sentAt, &req.job, chosen.server.ID, chosen.choice)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,9 @@
 	// ResumeAfter is the ID of the last event of the stream that the caller has
 	// received; zero if there is none.
 	ResumeAfter int64
+	// Resumes is the ID of the request that brought the first event of that stream;
+	// empty if the request does not state it.
+	Resumes string
 }
 
 // AttemptInfo is the metadata that a gateway adds to a request for one attempt.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -380,6 +380,7 @@
 		fields := logrus.Fields{"event": "backend_" + string(e.State), "server": e.ID, "revision": v.directory.Revision()}
 		if e.Server != nil {
 			fields["service"], fields["address"], fields["data_centre"] = e.Server.Service, e.Server.Address, e.Server.DataCentre
+			fields["software_version"], fields["started_at_ms"] = e.Server.SoftwareVersion, e.Server.StartedAtMs
 		}
 		v.log.WithFields(fields).Info("backend server state changed")
 		if e.State == directory.StateRemoved {
