--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -175,7 +175,7 @@
 		return "attempts_used"
 	case req.attempts >= maxAttempts:
 		return "refused_by_servers"
-	case len(s.deps.Directory.Usable(req.service.Name)) <= len(req.excluded):
+	case !s.hasOtherServer(req):
 		return "no_other_server"
 	}
 	if !s.takeRetry(req, s.retryReserve(req, fwd)) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -218,6 +218,7 @@
 		complete, events, valid := f.splitter.Feed(buf[:n])
 		if events > 0 && first {
 			first = false
+			f.limitContinuation(active)
 			active.tracker.FirstEvent(f.server.deps.Clock.Now())
 		}
 		if !f.writeEvents(ex, complete, ended && valid && f.splitter.PendingBytes() == 0) {
@@ -238,6 +239,14 @@
 	}
 }
 
+// limitContinuation records where the stream may go on if its first event comes from this
+// attempt.
+func (f *responseForwarder) limitContinuation(active *activeAttempt) {
+	if f.req.continuation == nil {
+		f.req.continuation = continuationAt(active.server)
+	}
+}
+
 // writeEvents writes complete events to the caller, and the head before the
 // first of them. If last is true, it ends the response.
 func (f *responseForwarder) writeEvents(ex *upstream.Exchange, events []byte, last bool) bool {
--- a/gateway/pushback.go
+++ b/gateway/pushback.go
@@ -35,17 +35,17 @@
 }
 
 // excluded returns the IDs of the servers that must not be chosen for the request: those
-// that were tried, those that asked for a pause, and those whose limit allows no request
-// now.
+// that were tried, those that asked for a pause, those whose limit allows no request now,
+// and those at which its stream may not go on.
 func (s *Server) excluded(req *request, usable []*directory.BackendServer) map[string]bool {
 	now := s.deps.Clock.Now()
 	pauses, limits := s.pushback.Any(now), s.limits.Any()
-	if !pauses && !limits {
+	if !pauses && !limits && req.continuation == nil {
 		return req.excluded
 	}
 	excluded := maps.Clone(req.excluded)
 	for _, b := range usable {
-		if pauses && s.paused(b) || limits && s.allowance(now, b).At.After(now) {
+		if !req.continuation.permits(b) || pauses && s.paused(b) || limits && s.allowance(now, b).At.After(now) {
 			excluded[b.ID] = true
 		}
 	}
@@ -56,9 +56,12 @@
 func (s *Server) reasonWithoutServer(req *request) string {
 	now := s.deps.Clock.Now()
 	reason := "no_backend_server"
+	if req.continuation != nil {
+		reason = "no_server_of_version"
+	}
 	for _, b := range s.deps.Directory.Usable(req.service.Name) {
 		switch {
-		case req.excluded[b.ID]:
+		case req.excluded[b.ID], !req.continuation.permits(b):
 		case s.paused(b):
 			return "servers_paused"
 		case s.allowance(now, b).At.After(now):
@@ -74,13 +77,12 @@
 // servers are expected to serve them.
 func (s *Server) availabilityDelay(req *request) (delay time.Duration, unavailable bool) {
 	now := s.deps.Clock.Now()
-	usable := s.deps.Directory.Usable(req.service.Name)
-	if len(usable) == 0 {
-		return 0, false
-	}
 	var opensAt time.Time
 	slots, perSecond := 1, 0.0
-	for _, b := range usable {
+	for _, b := range s.deps.Directory.Usable(req.service.Name) {
+		if !req.continuation.permits(b) {
+			continue
+		}
 		until, paused := s.pushback.Until(now, incarnationOf(b))
 		allowance := s.allowance(now, b)
 		switch {
@@ -96,6 +98,9 @@
 			perSecond += 1 / allowance.Interval.Seconds()
 		}
 	}
+	if opensAt.IsZero() {
+		return 0, false
+	}
 	interval := req.route.LatencyTarget / time.Duration(slots)
 	if perSecond > 0 {
 		interval = max(interval, time.Duration(float64(time.Second)/perSecond))
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -164,6 +164,9 @@
 	received time.Time
 	// deadline is the deadline of the final response.
 	deadline time.Time
+	// continuation limits the servers at which a stream that has begun may go on; nil before
+	// its first event.
+	continuation *continuation
 	// excluded holds the IDs of the backend servers that were already tried.
 	excluded map[string]bool
 	// trialOf is the rule of the quarantine of which the next attempt is a trial; empty if
