--- a/directory/directory.go
+++ b/directory/directory.go
@@ -123,11 +123,13 @@
 	storeRecoveredAt time.Time
 	// removed holds the last removed incarnation of each ID.
 	removed map[string]removedServer
+	// versions holds the software versions of entries that were replaced or removed.
+	versions versionHistory
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{records: make(map[string]*record), byService: make(map[string][]*BackendServer), removed: make(map[string]removedServer)}
+	return &Directory{records: make(map[string]*record), byService: make(map[string][]*BackendServer), removed: make(map[string]removedServer), versions: newVersionHistory()}
 }
 
 // Revision returns the newest store revision that was applied.
@@ -238,6 +240,7 @@
 		}
 	}
 	d.revision = revision
+	d.versions.completeSince = now
 	d.rebuildIndex()
 	return events
 }
@@ -262,6 +265,7 @@
 		return d.remove(now, c.ID, r, events)
 	}
 	r.leaseExpiredAt = time.Time{}
+	d.versions.ended(now, r.server)
 	r.server = c.Server
 	if c.Server != nil {
 		stillDraining := r.draining && r.drainingStartedAtMs == c.Server.StartedAtMs
@@ -304,6 +308,7 @@
 // delete deletes an entry and remembers its incarnation.
 func (d *Directory) delete(now time.Time, id string, r *record, events []Event) []Event {
 	delete(d.records, id)
+	d.versions.ended(now, r.server)
 	if r.server != nil && len(d.removed) < maxRemoved {
 		d.removed[id] = removedServer{r.server.StartedAtMs, r.draining, now}
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -239,12 +239,13 @@
 	}
 }
 
-// limitContinuation records where the stream may go on if its first event comes from this
-// attempt.
+// limitContinuation records where the stream may go on, when an attempt has brought its first
+// event.
 func (f *responseForwarder) limitContinuation(active *activeAttempt) {
 	if f.req.continuation == nil {
 		f.req.continuation = continuationAt(active.server)
 	}
+	f.server.recordOrigin(f.req)
 }
 
 // writeEvents writes complete events to the caller, and the head before the
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -55,6 +55,10 @@
 	m.registry.Counter("sesame_gateway_response_fields_ignored_total", "field", field).Inc(1)
 }
 
+func (m *gatewayMetrics) takenUp(origin string) {
+	m.registry.Counter("sesame_gateway_streams_taken_up_total", "origin", origin).Inc(1)
+}
+
 func (m *gatewayMetrics) failed(route string) {
 	m.registry.Counter("sesame_gateway_failed_total", "route", route).Inc(1)
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -174,6 +175,10 @@
 	// what is known of requests that crash them.
 	Limits  LimitExchange
 	Crashes CrashExchange
+	// Origins, if set before Run, exchanges where streams began.
+	Origins OriginExchange
+	// conn is nil until Run listens.
+	conn atomic.Pointer[net.UDPConn]
 }
 
 // NewPeers returns the peers of a gateway that knows only its seeds.
@@ -229,11 +234,13 @@
 		p.log.WithError(err).WithField("event", "peers_off").Error("cannot listen on the peer address; peer discovery disabled")
 		return
 	}
+	p.conn.Store(conn)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // makes receive return
 	defer stop()
 	go clock.Every(ctx, helloInterval, func() { p.sendHellos(conn) })
 	go p.sendHints(ctx, conn)
 	go p.sendCrashReports(ctx, conn)
+	go p.sendOrigins(ctx, conn)
 	p.receive(conn)
 }
 
@@ -439,6 +446,7 @@
 			continue
 		}
 		p.handleMessage(message)
+		p.applyOriginEntries(conn, p.clock.Now(), message)
 		p.relay(conn, message)
 	}
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -15,6 +15,7 @@
 	"github.com/sesameswitch/sesameswitch/ingress"
 	"github.com/sesameswitch/sesameswitch/internal/mutation"
 	"github.com/sesameswitch/sesameswitch/limit"
+	"github.com/sesameswitch/sesameswitch/origin"
 	"github.com/sesameswitch/sesameswitch/quarantine"
 	"github.com/sesameswitch/sesameswitch/retry"
 	"github.com/sesameswitch/sesameswitch/routes"
@@ -66,7 +67,9 @@
 	Scheduler *routing.Scheduler
 	Pool      *upstream.Pool
 	Gateways  SharingCounter
-	Clock     clock.Clock
+	// Origins asks other gateways where streams began; nil if there are none.
+	Origins OriginAsker
+	Clock   clock.Clock
 	// Elapsed also advances while the VM is suspended.
 	Elapsed clock.Elapsed
 	Metrics *telemetry.Metrics
@@ -101,6 +104,9 @@
 	// kept away from servers because they crash them.
 	crashes    *crashWatch
 	quarantine *quarantine.Register
+	// origins holds where streams began, inquiries the questions to other gateways about it.
+	origins   *origin.Register
+	inquiries *inquiries
 	// candidateLists holds the last list of candidates of each service.
 	candidateLists map[string]candidateList
 }
@@ -112,7 +118,7 @@
 		rng:          rand.New(rand.NewPCG(deps.Seed, 3)), //nolint:gosec // not for secrets
 		retryBudgets: make(map[string]*retry.WindowBudget), candidateLists: make(map[string]candidateList),
 		pushback: retry.NewPushback(), returns: make(map[string]*retry.Returns), limits: limit.NewServers(),
-		crashes: newCrashWatch(), quarantine: quarantine.New(),
+		crashes: newCrashWatch(), quarantine: quarantine.New(), origins: origin.NewRegister(), inquiries: newInquiries(),
 	}
 }
 
@@ -167,6 +173,8 @@
 	// continuation limits the servers at which a stream that has begun may go on; nil before
 	// its first event.
 	continuation *continuation
+	// originRecorded reports whether it was recorded where the stream began.
+	originRecorded bool
 	// excluded holds the IDs of the backend servers that were already tried.
 	excluded map[string]bool
 	// trialOf is the rule of the quarantine of which the next attempt is a trial; empty if
@@ -200,6 +208,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(req.deadline.Sub(s.deps.Clock.Now())))
 	defer cancel()
+	if refusal := s.limitTakenUpStream(ctx, req); refusal != nil {
+		s.refuse(req, refusal)
+		return
+	}
 	s.serve(ctx, req)
 }
 
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -127,6 +127,16 @@
 	return v.elapsed() - time.Duration(at)
 }
 
+// SoleVersion returns whether all servers of the service had the same software version
+// during the span before now, and which one. It does not know if the view is old.
+func (v *View) SoleVersion(service string, span time.Duration) (string, directory.Versions) {
+	version, versions := v.directory.SoleVersion(time.Unix(0, int64(v.elapsed())), service, span)
+	if versions == directory.OneVersion && v.Age() > maxVersionsViewAge {
+		return "", directory.VersionsUnknown
+	}
+	return version, versions
+}
+
 // Listed reports whether the directory has been listed completely at least once.
 func (v *View) Listed() bool { return v.listed.Load() }
 
