--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -20,8 +20,9 @@
 	servers []Server
 	// entries has the same order as servers.
 	entries []candidate
-	// pendingPrefill is scratch space.
+	// pendingPrefill and sources, with an element for each software version, are scratch space.
 	pendingPrefill []int
+	sources        []transferSource
 
 	// fleet holds the figures over all candidates as of fleetAt.
 	fleet   fleetLoad
@@ -36,10 +37,15 @@
 	// poolRank is the position of the server in the order of hashes in which
 	// servers are assigned to the latency-sensitive pool.
 	poolRank int
+	// version is the index of the server's software version, or unknownVersion.
+	version int
 	// local reports whether the server is in the gateway's data centre.
 	local bool
 }
 
+// unknownVersion is the version of servers that state none.
+const unknownVersion = -1
+
 // inPool reports whether the server is in the latency-sensitive pool of this size.
 func (c *candidate) inPool(poolSize int) bool { return c.poolRank < poolSize }
 
@@ -64,16 +70,23 @@
 	}
 	c = &candidates{servers: servers, entries: make([]candidate, len(servers)), pendingPrefill: make([]int, len(servers))}
 	ranked := make([]int, len(servers))
+	versions := map[string]int{"": unknownVersion}
 	for i := range servers {
+		version, known := versions[servers[i].SoftwareVersion]
+		if !known {
+			version = len(versions) - 1
+			versions[servers[i].SoftwareVersion] = version
+		}
 		st := s.state(servers[i].ID)
 		st.candidates, st.index = c, i
-		c.entries[i] = candidate{serverState: st, idHash: xxhash.Sum64String(servers[i].ID), local: servers[i].DataCentre == s.dataCentre}
+		c.entries[i] = candidate{serverState: st, idHash: xxhash.Sum64String(servers[i].ID), version: version, local: servers[i].DataCentre == s.dataCentre}
 		ranked[i] = i
 	}
 	slices.SortStableFunc(ranked, func(a, b int) int { return cmp.Compare(mix(c.entries[a].idHash), mix(c.entries[b].idHash)) })
 	for rank, i := range ranked {
 		c.entries[i].poolRank = rank
 	}
+	c.sources = make([]transferSource, len(versions)-1)
 	service.candidates = c
 	return c
 }
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -5,12 +5,8 @@
 // placement holds the inputs that the estimates of one job at all servers have in
 // common.
 type placement struct {
-	// source is the transfer source: the server with the longest prefilled prefix
-	// of the prompt, or nil if there is none.
-	source           *serverState
-	sourceDataCentre string
-	// prefilled is the length of that prefix in tokens.
-	prefilled int
+	// sources holds the transfer source of each software version.
+	sources []transferSource
 	// minUncached is the number of uncached prompt tokens at the server with the
 	// fewest, which may be the home server.
 	minUncached int
@@ -21,6 +17,24 @@
 	contenders float64
 }
 
+// transferSource is the server of one software version with the longest prefilled prefix of
+// the prompt.
+type transferSource struct {
+	// server is nil if none has prefilled a part of the prompt.
+	server     *serverState
+	dataCentre string
+	// prefilled is the length of the prefix in tokens.
+	prefilled int
+}
+
+// offer replaces the source by a server with a longer prefix, or with the same one and a lower
+// index.
+func (t *transferSource) offer(st *serverState, dataCentre string) {
+	if prefilled := st.match.prefilled; prefilled > t.prefilled || prefilled == t.prefilled && t.server != nil && st.index < t.server.index {
+		*t = transferSource{st, dataCentre, prefilled}
+	}
+}
+
 // segmentIndex holds the servers that are expected to have cached a segment, by the
 // ID of the segment.
 type segmentIndex map[string][]*serverState
@@ -58,6 +72,8 @@
 // segment there.
 func (s *Scheduler) findPrefix(j *Job, c *candidates, poolSize int, latencySensitive bool) (home int, p placement) {
 	home, p.minUncached = -1, j.PromptTokens
+	p.sources = c.sources
+	clear(p.sources)
 	if len(j.Segments) == 0 {
 		return home, p
 	}
@@ -69,13 +85,10 @@
 		known = true
 		st.match = prefixMatch{choice: s.choices, uncached: st.uncachedTokens(j, false), prefilled: st.prefilledTokens(j)}
 		p.minUncached = min(p.minUncached, st.match.uncached)
-		if st.match.prefilled > p.prefilled || st.match.prefilled == p.prefilled && p.source != nil && st.index < p.source.index {
-			p.source, p.prefilled = st, st.match.prefilled
+		if version := c.entries[st.index].version; version != unknownVersion {
+			p.sources[version].offer(st, c.servers[st.index].DataCentre)
 		}
 	}
-	if p.source != nil {
-		p.sourceDataCentre = c.servers[p.source.index].DataCentre
-	}
 	if known {
 		return home, p
 	}
@@ -93,17 +106,25 @@
 	return prefixMatch{uncached: j.PromptTokens}
 }
 
-// transferCost returns the penalty for a KV cache transfer from the transfer
-// source, in milliseconds, and the number of tokens that the server need not
-// prefill then; 0 means that no transfer is possible or useful. A transfer between
-// data centres is assumed to take twice as long.
-func (st *serverState) transferCost(j *Job, dataCentre string, prefilled int, p *placement) (cost float64, saved int) {
-	saved = p.prefilled - prefilled
-	if j.TransferRate == 0 || p.source == nil || p.source == st || saved < minTransferTokens {
+// transferSource returns the source from which the server can get KV cache: one of its own
+// software version, as others may not be able to use it.
+func (p *placement) transferSource(st *candidate) transferSource {
+	if st.version == unknownVersion {
+		return transferSource{}
+	}
+	return p.sources[st.version]
+}
+
+// transferCost returns the penalty for a KV cache transfer from the source, in milliseconds,
+// and the number of tokens that the server need not prefill then; 0 means that no transfer is
+// possible or useful. A transfer between data centres is assumed to take twice as long.
+func (st *serverState) transferCost(j *Job, dataCentre string, prefilled int, source transferSource) (cost float64, saved int) {
+	saved = source.prefilled - prefilled
+	if j.TransferRate == 0 || source.server == nil || source.server == st || saved < minTransferTokens {
 		return 0, 0
 	}
 	cost = transferSetup + float64(saved)/j.TransferRate + transferPenaltyPerGB*float64(saved)*j.TokenBytes/1e9
-	if dataCentre != p.sourceDataCentre {
+	if dataCentre != source.dataCentre {
 		cost += float64(saved) / j.TransferRate
 	}
 	return cost, saved
--- a/routing/scheduler.go
+++ b/routing/scheduler.go
@@ -171,6 +171,9 @@
 type Server struct {
 	ID         string
 	DataCentre string
+	// SoftwareVersion is the version of the server's software. KV cache is transferred only
+	// between servers of the same one.
+	SoftwareVersion string
 	// Slots is how many requests a server of a plain service runs concurrently; it
 	// is not used for engines.
 	Slots int
@@ -400,8 +403,9 @@
 		}
 		c.ServiceTime = float64(prefill) / service.prefillRate
 		penalty := (duplicatePrefillWeight + p.fleet.medianWait/duplicateWaitUnit) * float64(max(0, prefill-p.minUncached)) / service.prefillRate
-		if transfer, saved := st.transferCost(j, server.DataCentre, match.prefilled, p); saved > 0 && transfer < penalty+float64(saved)/service.prefillRate {
-			c.TransferSource = p.source.id
+		source := p.transferSource(st)
+		if transfer, saved := st.transferCost(j, server.DataCentre, match.prefilled, source); saved > 0 && transfer < penalty+float64(saved)/service.prefillRate {
+			c.TransferSource = source.server.id
 			c.UncachedTokens = max(0, c.UncachedTokens-saved)
 			c.ServiceTime = float64(c.UncachedTokens) / service.prefillRate
 			penalty = transfer
