--- a/directory/directory.go
+++ b/directory/directory.go
@@ -75,6 +75,8 @@
 type record struct {
 	server   *BackendServer
 	revision uint64
+	// writtenAt is when the newest version of the entry was applied.
+	writtenAt time.Time
 	// draining reports whether the incarnation that started at drainingStartedAtMs
 	// has announced that it is draining. An undecodable version does not undo it.
 	draining            bool
@@ -264,7 +266,7 @@
 	if c.Removed {
 		return d.remove(now, c.ID, r, events)
 	}
-	r.leaseExpiredAt = time.Time{}
+	r.leaseExpiredAt, r.writtenAt = time.Time{}, now
 	d.versions.ended(now, r.server)
 	r.server = c.Server
 	if c.Server != nil {
@@ -374,6 +376,15 @@
 	return d.byService[service]
 }
 
+// WrittenSince reports whether this incarnation of the backend server has written its entry
+// and the directory learnt of it after the given time.
+func (d *Directory) WrittenSince(s *BackendServer, at time.Time) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	r := d.records[s.ID]
+	return r != nil && r.server != nil && r.server.StartedAtMs == s.StartedAtMs && r.writtenAt.After(at)
+}
+
 // IsUsable reports whether this incarnation of the backend server may still get
 // new requests at its address.
 func (d *Directory) IsUsable(s *BackendServer) bool {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -364,6 +365,9 @@
 			req.runs++
 			active.broken = true
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			s.doubt(serverIDOf(active.server), s.deps.Clock.Now(), "")
+		}
 		return s.failureResult(ctx, req, err)
 	}
 	req.attempts++
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -14,28 +14,32 @@
 }
 
 // continuationAt returns the limits of a stream whose first event came from the server.
-func continuationAt(b *directory.BackendServer) *continuation {
+func (s *Server) continuationAt(b *directory.BackendServer) *continuation {
+	if s.doubted(b) {
+		return &continuation{server: incarnationOf(b)}
+	}
 	return &continuation{softwareVersion: b.SoftwareVersion, server: incarnationOf(b)}
 }
 
-// permits reports whether the stream may go on at the server. A stream that has not begun has
-// no limits, and c is nil.
+// permits reports whether the stream may go on at the server.
 func (c *continuation) permits(b *directory.BackendServer) bool {
-	switch {
-	case c == nil:
-		return true
-	case c.softwareVersion == "":
+	if c.softwareVersion == "" {
 		return incarnationOf(b) == c.server
-	default:
-		return b.SoftwareVersion == c.softwareVersion
 	}
+	return b.SoftwareVersion == c.softwareVersion
+}
+
+// mayUse reports whether the request may go on at the server. A request that has not begun may
+// use any.
+func (s *Server) mayUse(req *request, b *directory.BackendServer) bool {
+	return req.continuation == nil || req.continuation.permits(b) && !s.doubted(b)
 }
 
 // hasOtherServer reports whether a usable server is left that the request has not tried and
 // at which it may go on.
 func (s *Server) hasOtherServer(req *request) bool {
 	for _, b := range s.deps.Directory.Usable(req.service.Name) {
-		if !req.excluded[b.ID] && req.continuation.permits(b) {
+		if !req.excluded[b.ID] && s.mayUse(req, b) {
 			return true
 		}
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -144,6 +144,7 @@
 // had made no progress.
 func (s *Server) recordCrash(server *directory.BackendServer, at time.Time, attempts []brokenAttempt, broken int) {
 	now := s.deps.Clock.Now()
+	s.doubt(serverIDOf(server), at, "")
 	crash := quarantine.Crash{Server: serverIDOf(server), At: at, Broken: broken}
 	var requests []string
 	for _, a := range attempts {
--- a/gateway/crashreports.go
+++ b/gateway/crashreports.go
@@ -60,6 +60,11 @@
 
 // ApplyCrashReports implements CrashExchange.
 func (s *Server) ApplyCrashReports(now time.Time, from string, reports []quarantine.Report) {
+	for _, r := range reports {
+		if r.Kind == quarantine.CrashReport {
+			s.doubt(r.Server, r.At, from)
+		}
+	}
 	s.logQuarantine(s.quarantine.Apply(now, reports...), from)
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -243,7 +243,7 @@
 // event.
 func (f *responseForwarder) limitContinuation(active *activeAttempt) {
 	if f.req.continuation == nil {
-		f.req.continuation = continuationAt(active.server)
+		f.req.continuation = f.server.continuationAt(active.server)
 	}
 	f.server.recordOrigin(f.req)
 }
--- a/gateway/pushback.go
+++ b/gateway/pushback.go
@@ -45,7 +45,7 @@
 	}
 	excluded := maps.Clone(req.excluded)
 	for _, b := range usable {
-		if !req.continuation.permits(b) || pauses && s.paused(b) || limits && s.allowance(now, b).At.After(now) {
+		if !s.mayUse(req, b) || pauses && s.paused(b) || limits && s.allowance(now, b).At.After(now) {
 			excluded[b.ID] = true
 		}
 	}
@@ -61,7 +61,7 @@
 	}
 	for _, b := range s.deps.Directory.Usable(req.service.Name) {
 		switch {
-		case req.excluded[b.ID], !req.continuation.permits(b):
+		case req.excluded[b.ID], !s.mayUse(req, b):
 		case s.paused(b):
 			return "servers_paused"
 		case s.allowance(now, b).At.After(now):
@@ -80,7 +80,7 @@
 	var opensAt time.Time
 	slots, perSecond := 1, 0.0
 	for _, b := range s.deps.Directory.Usable(req.service.Name) {
-		if !req.continuation.permits(b) {
+		if !s.mayUse(req, b) {
 			continue
 		}
 		until, paused := s.pushback.Until(now, incarnationOf(b))
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -107,6 +107,8 @@
 	// origins holds where streams began, inquiries the questions to other gateways about it.
 	origins   *origin.Register
 	inquiries *inquiries
+	// doubts holds the servers of which it is not known what listens at their address.
+	doubts *doubts
 	// candidateLists holds the last list of candidates of each service.
 	candidateLists map[string]candidateList
 }
@@ -118,7 +120,7 @@
 		rng:          rand.New(rand.NewPCG(deps.Seed, 3)), //nolint:gosec // not for secrets
 		retryBudgets: make(map[string]*retry.WindowBudget), candidateLists: make(map[string]candidateList),
 		pushback: retry.NewPushback(), returns: make(map[string]*retry.Returns), limits: limit.NewServers(),
-		crashes: newCrashWatch(), quarantine: quarantine.New(), origins: origin.NewRegister(), inquiries: newInquiries(),
+		crashes: newCrashWatch(), quarantine: quarantine.New(), origins: origin.NewRegister(), inquiries: newInquiries(), doubts: newDoubts(),
 	}
 }
 
