--- a/directory/directory.go
+++ b/directory/directory.go
@@ -75,6 +75,10 @@
 type record struct {
 	server   *BackendServer
 	revision uint64
+	// firstVersion is the software version that the incarnation which started at
+	// versionStartedAtMs stated first.
+	firstVersion       string
+	versionStartedAtMs int64
 	// writtenAt is when the newest version of the entry was applied.
 	writtenAt time.Time
 	// draining reports whether the incarnation that started at drainingStartedAtMs
@@ -277,6 +281,7 @@
 			r.server = &draining
 		}
 		r.draining, r.drainingStartedAtMs = r.server.Draining, c.Server.StartedAtMs
+		r.checkVersion()
 	}
 	return append(events, Event{ID: c.ID, State: stateOf(r.server), Server: r.server})
 }
--- a/directory/versions.go
+++ b/directory/versions.go
@@ -38,6 +38,22 @@
 	}
 }
 
+// checkVersion makes the software version of the server unknown if its incarnation first stated
+// another one: a process does not change its software while it runs, so that one of the two
+// entries is damaged.
+func (r *record) checkVersion() {
+	s := r.server
+	if s.StartedAtMs == 0 || s.StartedAtMs != r.versionStartedAtMs {
+		r.firstVersion, r.versionStartedAtMs = s.SoftwareVersion, s.StartedAtMs
+		return
+	}
+	if s.SoftwareVersion != r.firstVersion {
+		unknown := *s
+		unknown.SoftwareVersion = ""
+		r.server = &unknown
+	}
+}
+
 // Versions tells how many software versions of a service have served during a span.
 type Versions int
 
--- a/directory/versions_test.go
+++ b/directory/versions_test.go
@@ -55,3 +55,35 @@
 		t.Errorf("got %v, want VersionsUnknown", got)
 	}
 }
+
+// TestVersionChangesWithoutRestart guards against a damaged entry that states another software
+// version for the same incarnation: its version is unknown until the first one is stated again.
+func TestVersionChangesWithoutRestart(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	d := New()
+	revision := uint64(0)
+	version := func(stated string, startedAtMs int64) string {
+		revision++
+		c := Change{ID: "a", Revision: revision, Server: &BackendServer{ID: "a", Service: "llm", SoftwareVersion: stated, StartedAtMs: startedAtMs}}
+		if stated == "unreadable" {
+			c.Server = nil
+		}
+		d.Apply(now, []Change{c}, revision)
+		if usable := d.Usable("llm"); len(usable) > 0 {
+			return usable[0].SoftwareVersion
+		}
+		return "not usable"
+	}
+	for i, step := range []struct {
+		stated      string
+		startedAtMs int64
+		want        string
+	}{
+		{"v1", 1, "v1"}, {"v2", 1, ""}, {"v2", 1, ""}, {"unreadable", 1, "not usable"}, {"v2", 1, ""}, {"v1", 1, "v1"}, {"", 1, ""}, {"v1", 1, "v1"},
+		{"v2", 2, "v2"}, {"v1", 2, ""}, {"v3", 0, "v3"}, {"v4", 0, "v4"}, // a server that does not state its start may have restarted
+	} {
+		if got := version(step.stated, step.startedAtMs); got != step.want {
+			t.Errorf("step %d: an entry states %q, start %d: got version %q, want %q", i, step.stated, step.startedAtMs, got, step.want)
+		}
+	}
+}
