--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -172,6 +172,8 @@
 	switch {
 	case last == resultMayHaveRun && !req.route.Idempotent() && !mutation.Off(GuardAtMostOnce):
 		return "outcome_unknown"
+	case fwd.started && !fwd.resumable():
+		return "not_resumable"
 	case last == resultMayHaveRun && req.runs >= max(1, req.route.MaxRuns):
 		return "attempts_used"
 	case req.attempts >= maxAttempts:
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -83,6 +83,12 @@
 	return f.req.ResumeAfter
 }
 
+// resumable reports whether a response of which a part was sent can be continued: it is an
+// event stream, and the ID of an event that was sent tells where.
+func (f *responseForwarder) resumable() bool {
+	return f.splitter != nil && f.splitter.LastID() > f.req.ResumeAfter
+}
+
 func (f *responseForwarder) events() int {
 	if f.splitter == nil {
 		return 0
