--- a/soak/caller.go
+++ b/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -42,6 +43,16 @@
 	// gateway is the gatewayIncarnation of the caller.
 	gateway            string
 	startedAt, endedAt time.Time
+	// breakAfter is the number of events after which the caller loses its connection; zero means
+	// that it does not.
+	breakAfter int
+	// resumes is the call whose stream the request takes up, after the event with the ID after,
+	// or nil. version is the software version that began it, servers the number of ready servers
+	// of that version.
+	resumes *call
+	after   int
+	version string
+	servers int
 	// reusedConnection is true if the connection had carried an earlier request.
 	reusedConnection bool
 	status           int
@@ -80,6 +91,10 @@
 		c := cl.nextCall(n)
 		cl.send(c)
 		d.history.addCall(c)
+		if again := cl.takeUp(c); again != nil {
+			d.history.addCall(again)
+			c = again
+		}
 		if c.err != nil || cl.rng.IntN(20) == 0 {
 			cl.disconnect()
 		}
@@ -136,6 +151,9 @@
 		c.route, c.atMostOnce = unsafeRoute, true
 	case x < 75:
 		c.route = "stream"
+		if cl.rng.IntN(brokenShare) == 0 {
+			c.breakAfter = 1 + cl.rng.IntN(eventsPerStream-1)
+		}
 	case x < 90:
 		c.route, c.atMostOnce = onceRoute, true
 	default:
@@ -148,10 +166,11 @@
 
 // headerLines returns the optional header lines of the request.
 func (c *call) headerLines() []string {
-	if c.prompt == "" {
-		return nil
+	lines := c.resumeLines()
+	if c.prompt != "" {
+		lines = append(lines, c.prompt)
 	}
-	return []string{c.prompt}
+	return lines
 }
 
 // send sends a request and reads its response into c.
@@ -170,9 +189,31 @@
 	}
 	defer response.Body.Close()
 	c.status, c.hasSeal = response.StatusCode, standin.HasReplicaSeal(response.Header)
-	content, err := io.ReadAll(response.Body)
-	c.body, c.err = string(content), err
+	c.body, c.err = readBody(response.Body, c.breakAfter)
 	if response.Close {
 		cl.disconnect()
 	}
 }
+
+// readBody reads a body. If breakAfter is positive, it stops after that many events.
+func readBody(body io.Reader, breakAfter int) (string, error) {
+	if breakAfter == 0 {
+		content, err := io.ReadAll(body)
+		return string(content), err
+	}
+	var text strings.Builder
+	for events, reader := 0, bufio.NewReader(body); events < breakAfter; {
+		line, err := reader.ReadString('\n')
+		text.WriteString(line)
+		if errors.Is(err, io.EOF) {
+			return text.String(), nil
+		}
+		if err != nil {
+			return text.String(), err
+		}
+		if line == "\n" {
+			events++
+		}
+	}
+	return text.String(), errConnectionLost
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +16,8 @@
 	atMostOnce            = "at most once"
 	refusedNotRun         = "a request refused as not run has not run"
 	completeResponse      = "a response reported as complete is complete"
+	streamVersion         = "a stream goes on only at the software version that began it"
+	streamsGoOn           = "streams that are taken up go on as often as new ones begin"
 	eventOrder            = "the events of a stream arrive in order"
 	responseReceived      = "a request receives a response"
 	validRequestAccepted  = "a valid request is not refused"
@@ -145,6 +146,7 @@
 	}
 	found = append(found, d.checkVersions()...)
 	found = append(found, d.checkRetryBudget()...)
+	found = append(found, d.checkTakenUp()...)
 	found = append(found, d.checkLeaving()...)
 	found = append(found, d.checkPauses()...)
 	found = append(found, d.checkLimits()...)
@@ -192,7 +194,7 @@
 	// A gateway may close an idle connection while the next request on it is under
 	// way. The caller of a request that did not run must then retry it itself. A
 	// response may end at the deadline that its caller stated.
-	if c.err != nil && c.endedAt.Sub(c.startedAt) < c.timeout && d.undisrupted(c.startedAt, c.endedAt) && d.uncrashed(c.startedAt, c.endedAt) && (n > 0 || !c.reusedConnection) {
+	if c.err != nil && !errors.Is(c.err, errConnectionLost) && c.endedAt.Sub(c.startedAt) < c.timeout && d.undisrupted(c.startedAt, c.endedAt) && d.uncrashed(c.startedAt, c.endedAt) && (n > 0 || !c.reusedConnection) {
 		violated(noPlannedInterruption, "interrupted after %v: %v, %d runs", c.endedAt.Sub(c.startedAt), c.err, n)
 	}
 	return found
@@ -218,15 +220,7 @@
 		}
 		return
 	}
-	complete := ""
-	for n := 1; n <= eventsPerStream; n++ {
-		complete += fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, c.id)
-	}
-	if c.err == nil && c.body != complete {
-		violated(completeResponse, "%q", c.body)
-	} else if !strings.HasPrefix(complete, c.body) {
-		violated(eventOrder, "%q", c.body)
-	}
+	c.checkStream(violated)
 }
 
 // guaranteesNotRun reports whether a response with the given status guarantees that
--- a/soak/server.go
+++ b/soak/server.go
@@ -90,6 +90,9 @@
 	if err != nil {
 		return err
 	}
+	d.mu.Lock()
+	replica.SoftwareVersion = softwareVersions[len(d.servers)%len(softwareVersions)]
+	d.mu.Unlock()
 	link, err := testbed.NewRelay(replica.Address())
 	if err != nil {
 		replica.Close()
@@ -305,7 +308,7 @@
 	}
 	truncate := activeFault == ServerTruncates && rand.IntN(2) == 0 || d.cutsFirstRuns && firstRun && isAtMostOnce(e.Target)
 	if s.service == "llm" {
-		return writeStream(e, id, truncate)
+		return writeStream(e, id, s.SoftwareVersion, truncate)
 	}
 	if truncate {
 		e.WriteHead(200, "Content-Length: 400")
@@ -320,11 +323,11 @@
 // writeStream sends the events that follow the last one that the client received.
 // If truncate is true, it sends one complete event and resets the connection in the
 // middle of the next one, if any. It reports whether the connection stays usable.
-func writeStream(e *standin.Exchange, id string, truncate bool) bool {
+func writeStream(e *standin.Exchange, id, version string, truncate bool) bool {
 	last := e.ResumeAfter()
 	e.WriteStreamHead()
 	for n := last + 1; n <= eventsPerStream; n++ {
-		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, id)
+		event := streamEvent(n, id, version)
 		if truncate && n > last+1 {
 			e.WriteChunk(event[:len(event)/2])
 			e.Reset()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -172,6 +172,29 @@
 	}
 }
 
+// TestStreamsOfRealGatewaysChangeVersion guards against streams that go on at another software
+// version, within a response or when callers take them up, while servers break responses off, are
+// replaced and crash, and gateways are killed and stopped.
+func TestStreamsOfRealGatewaysChangeVersion(t *testing.T) {
+	o := soak.DefaultOptions()
+	o.Bin, o.Servers = buildGateway(t), 5
+	second := time.Second
+	for name, plan := range map[string][]soak.Fault{
+		"calm":             {},
+		"broken-responses": {{Kind: soak.ServerTruncates, At: second, For: 3 * second, Target: 3}, {Kind: soak.ServerTruncates, At: second, For: 3 * second, Target: 4}},
+		"replaced-servers": {{Kind: soak.ServerDrains, At: second, Target: 3}, {Kind: soak.ServerDrains, At: 2 * second, Target: 4}, {Kind: soak.ServerLeaves, At: 3 * second, Target: 3, Variant: 2}},
+		"killed-gateways":  {{Kind: soak.KillGateway, At: second, For: second / 5}, {Kind: soak.KillGateway, At: 3 * second, For: second / 5, Target: 1}, {Kind: soak.TerminateGateway, At: 5 * second, Target: 2}},
+		"crashing-servers": {{Kind: soak.CrashingSegment, At: second, For: 2 * second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := o
+			o.Plan = plan
+			requirePass(t, soak.RunSeed(o, 36))
+		})
+	}
+}
+
 // TestRandomPlansPass runs the plans of a few seeds, which must violate no
 // guarantee.
 func TestRandomPlansPass(t *testing.T) {
