--- a/gateway/crashreports.go
+++ b/gateway/crashreports.go
@@ -119,29 +119,19 @@
 
 // crashMessages divides reports into messages that each fit into a datagram.
 func (p *Peers) crashMessages(now time.Time, reports []quarantine.Report) []peerMessage {
-	var messages []peerMessage
 	var entries []string
-	size := 0
-	flush := func() {
-		if len(entries) > 0 {
-			// The data centre stands last: gateways of earlier versions take the other
-			// entries for one, and keep the last.
-			messages = append(messages, peerMessage{From: p.address, Known: append(entries, dataCentreMark+p.dataCentre)})
-		}
-		entries, size = nil, 0
-	}
 	for _, r := range reports {
 		entry := encodeCrashReport(now, r)
 		if len(entry) > maxCrashReportBytes {
 			p.log.WithFields(logrus.Fields{"event": "crash_report_too_large", "bytes": len(entry)}).Error("report about crashes does not fit into a datagram; not sent")
 			continue
 		}
-		if size+len(entry)+3 > maxCrashReportBytes {
-			flush()
-		}
-		entries, size = append(entries, entry), size+len(entry)+3 // 3 bytes of encoding
+		entries = append(entries, entry)
+	}
+	var messages []peerMessage
+	for _, some := range splitEntries(entries, maxCrashReportBytes) {
+		messages = append(messages, p.entriesMessage(some))
 	}
-	flush()
 	return messages
 }
 
--- a/gateway/originreports.go
+++ b/gateway/originreports.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"net"
-	"net/netip"
 	"net/url"
 	"slices"
 	"strconv"
@@ -33,16 +32,14 @@
 	originAsked = 6
 	// maxOriginBytes limits the entries about streams in one datagram.
 	maxOriginBytes = 1100
-	// originRepeatInterval is the time between two rounds that repeat reports.
-	originRepeatInterval = 150 * time.Millisecond
 )
 
 // OriginExchange provides and accepts reports about where streams began.
 type OriginExchange interface {
 	// OriginsChanged returns a channel that gets a value when there are new reports.
-	// TakeOriginReports returns them and, if repeat is true, those that were told once.
+	// TakeOriginReports returns them.
 	OriginsChanged() <-chan struct{}
-	TakeOriginReports(repeat bool) []origin.Report
+	TakeOriginReports() []origin.Report
 	// ApplyOrigins applies reports of another gateway.
 	ApplyOrigins(now time.Time, reports []origin.Report)
 	// AnswerOrigin returns what this gateway knows of a stream about which another one asks.
@@ -70,23 +67,18 @@
 	return holders
 }
 
-// sendOrigins tells the holders of streams where these began, until the context ends: new
-// reports at once, and each of them once more.
+// sendOrigins tells the holders of streams where these began, at once, until the context
+// ends: the callers of a gateway that is killed next take their streams up.
 func (p *Peers) sendOrigins(ctx context.Context, conn *net.UDPConn) {
 	if p.Origins == nil {
 		return
 	}
-	repeat := time.NewTicker(originRepeatInterval)
-	defer repeat.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-repeat.C:
-			p.tellOrigins(conn, p.Origins.TakeOriginReports(true))
 		case <-p.Origins.OriginsChanged():
-			// At once: the callers of a gateway that is killed next take their streams up.
-			p.tellOrigins(conn, p.Origins.TakeOriginReports(false))
+			p.tellOrigins(conn, p.Origins.TakeOriginReports())
 		}
 	}
 }
@@ -101,33 +93,10 @@
 		}
 	}
 	for address, told := range byHolder {
-		for _, entries := range splitEntries(originEntries(told), maxOriginBytes) {
-			p.sendEntries(conn, []string{address}, entries)
-		}
+		p.sendEntries(conn, []string{address}, originEntries(told), maxOriginBytes)
 	}
 }
 
-// sendEntries sends entries of peerMessage.Known. The data centre stands last: gateways of
-// earlier versions take the other entries for one, and keep the last.
-func (p *Peers) sendEntries(conn *net.UDPConn, targets []string, entries []string) {
-	p.send(conn, targets, peerMessage{From: p.address, Known: append(entries, dataCentreMark+p.dataCentre)})
-}
-
-// splitEntries divides entries into groups whose encoding takes at most the given bytes, if
-// each entry does.
-func splitEntries(entries []string, limit int) [][]string {
-	var groups [][]string
-	size := 0
-	for _, entry := range entries {
-		encoded := len(entry) + 3 // bytes of the length
-		if size += encoded; len(groups) == 0 || size > limit {
-			groups, size = append(groups, nil), encoded
-		}
-		groups[len(groups)-1] = append(groups[len(groups)-1], entry)
-	}
-	return groups
-}
-
 // originEntries encodes reports, those with the same origin together.
 func originEntries(reports []origin.Report) []string {
 	type group struct {
@@ -226,7 +195,8 @@
 // AskOrigin implements OriginAsker.
 func (p *Peers) AskOrigin(q origin.Question, targets []string) {
 	if conn := p.conn.Load(); conn != nil {
-		p.sendEntries(conn, targets, []string{originAskMark + q.Key.String() + "/" + url.PathEscape(q.Service) + "/" + strconv.FormatInt(q.Span.Milliseconds(), 10)})
+		entry := originAskMark + q.Key.String() + "/" + url.PathEscape(q.Service) + "/" + strconv.FormatInt(q.Span.Milliseconds(), 10)
+		p.sendEntries(conn, targets, []string{entry}, maxOriginBytes)
 	}
 }
 
@@ -264,11 +234,7 @@
 			p.Origins.ApplyOriginAnswer(message.From, a)
 		}
 	}
-	if target, err := netip.ParseAddrPort(message.From); err == nil && len(answers) > 0 && conn != nil {
-		for _, entries := range splitEntries(answers, maxOriginBytes) {
-			p.sendEntries(conn, []string{target.String()}, entries)
-		}
-	}
+	p.sendEntries(conn, []string{message.From}, answers, maxOriginBytes)
 }
 
 // answerOrigin returns the entry that answers a question.
--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -219,7 +219,7 @@
 func (s *Server) OriginsChanged() <-chan struct{} { return s.origins.Changed() }
 
 // TakeOriginReports implements OriginExchange.
-func (s *Server) TakeOriginReports(repeat bool) []origin.Report { return s.origins.TakeReports(repeat) }
+func (s *Server) TakeOriginReports() []origin.Report { return s.origins.TakeReports() }
 
 // ApplyOrigins implements OriginExchange.
 func (s *Server) ApplyOrigins(now time.Time, reports []origin.Report) {
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -95,9 +95,9 @@
 	// each client account.
 	all       *list.List
 	byAccount map[[accountBytes]byte]*list.List
-	// fresh holds the reports that were not told yet, repeated those that were told once.
-	fresh, repeated []Report
-	changed         chan struct{}
+	// fresh holds the reports that were not told yet.
+	fresh   []Report
+	changed chan struct{}
 }
 
 // NewRegister returns an empty register.
@@ -210,18 +210,12 @@
 // Changed returns a channel that gets a value when there is something to tell.
 func (r *Register) Changed() <-chan struct{} { return r.changed }
 
-// TakeReports returns the reports to tell other gateways: those that were never told and, if
-// repeat is true, those that were told once. Each is returned twice, so that the loss of one
-// message does not matter.
-func (r *Register) TakeReports(repeat bool) []Report {
+// TakeReports returns the reports that other gateways must be told. Several gateways are told
+// each, so that it is not repeated: the loss of one message does not matter.
+func (r *Register) TakeReports() []Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reports := r.fresh
-	if repeat {
-		reports = append(reports, r.repeated...)
-		r.repeated = nil
-	}
-	r.repeated = append(r.repeated, r.fresh...)
 	r.fresh = nil
 	return reports
 }
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -82,28 +82,23 @@
 	for i := range 2 * maxRecords {
 		r.Began(epoch, Report{KeyOf(fmt.Sprint("account-", i%100), fmt.Sprint(i)), old, keep})
 	}
-	if r.Len() != maxRecords || len(r.TakeReports(true)) != maxUntold {
+	if r.Len() != maxRecords || len(r.TakeReports()) != maxUntold {
 		t.Errorf("%d records, want %d, and %d reports", r.Len(), maxRecords, maxUntold)
 	}
 }
 
-// TestReportsAreToldTwice checks that each report is told twice, once at once and once with
-// the next round.
-func TestReportsAreToldTwice(t *testing.T) {
+// TestReportsAreTakenOnce checks that what this gateway recorded is told once, and what another
+// one reported is not.
+func TestReportsAreTakenOnce(t *testing.T) {
 	r := NewRegister()
 	r.Began(epoch, Report{KeyOf("acme", "a"), old, keep})
 	<-r.Changed()
-	for i, step := range []struct {
-		repeat bool
-		want   int
-	}{{false, 1}, {false, 0}, {true, 1}, {true, 0}} {
-		if got := len(r.TakeReports(step.repeat)); got != step.want {
-			t.Errorf("step %d: %d reports, want %d", i, got, step.want)
-		}
-	}
 	r.Apply(epoch, Report{KeyOf("acme", "b"), old, keep})
-	if n := len(r.TakeReports(true)); n != 0 {
-		t.Errorf("%d reports of another gateway are told, want none", n)
+	if reports := r.TakeReports(); len(reports) != 1 || reports[0].Key != KeyOf("acme", "a") {
+		t.Errorf("got %v, want the own report", reports)
+	}
+	if reports := r.TakeReports(); len(reports) != 0 {
+		t.Errorf("got %v again", reports)
 	}
 }
 
