--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sesameswitch/sesameswitch/directory"
+	"github.com/sesameswitch/sesameswitch/internal/mutation"
 	"github.com/sesameswitch/sesameswitch/retry"
 )
 
@@ -32,7 +33,7 @@
 // mayUse reports whether the request may go on at the server. A request that has not begun may
 // use any.
 func (s *Server) mayUse(req *request, b *directory.BackendServer) bool {
-	return req.continuation == nil || req.continuation.permits(b) && !s.doubted(b)
+	return req.continuation == nil || mutation.Off(GuardStreamVersion) || req.continuation.permits(b) && !s.doubted(b)
 }
 
 // hasOtherServer reports whether a usable server is left that the request has not tried and
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -311,6 +311,8 @@
 	// GuardKeyRevocation refuses requests with a key if the keys were not
 	// confirmed within the time limit for revocations.
 	GuardKeyRevocation mutation.Guard = "gateway.keys"
+	// GuardStreamVersion keeps a stream at the software version that began it.
+	GuardStreamVersion mutation.Guard = "gateway.stream_version"
 )
 
 // keysConfirmed reports whether the active keys were confirmed within the time
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -224,6 +224,7 @@
 			{Kind: soak.StoreLinkFault, At: second / 4, For: 6 * second, Variant: 1},
 			{Kind: soak.KeyRevocation, At: second / 2},
 		}},
+		"gateway.stream_version": {"a stream goes on only at the software version that began it", []soak.Fault{}},
 	} {
 		t.Run(guard, func(t *testing.T) {
 			t.Parallel()
