--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -73,7 +73,8 @@
 	// Entries of peerMessage.Known that begin with dataCentreMark are no addresses:
 	// one names the data centre of the sender, relayMark asks the receiver to relay
 	// the message, the number after countMark is that of the gateways that share
-	// limits, and limitMark begins a report about the limit of a backend server.
+	// limits, limitMark begins a report about the limit of a backend server, and there are
+	// others about crashes and about where streams began.
 	dataCentreMark = "@"
 	relayMark      = dataCentreMark + "relay"
 	countMark      = dataCentreMark + "gateways="
