--- a/agent/agent.go
+++ b/agent/agent.go
@@ -82,6 +82,8 @@
 	Incarnation agentapi.Incarnation
 	Models      []string
 	Services    []string
+	// SoftwareVersion is the version of the backend server's software; empty means unknown.
+	SoftwareVersion string
 	// Slots is the number of requests that the backend server runs concurrently.
 	Slots  int
 	Policy admission.Policy
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -220,7 +220,7 @@
 func (s *scheduler) publishStatus(now time.Time) {
 	status := &agentapi.Status{
 		VM: s.cfg.VM.Name, DataCentre: s.cfg.VM.DataCentre, Incarnation: s.cfg.Incarnation,
-		State: s.state, Models: s.cfg.Models, Services: s.cfg.Services,
+		State: s.state, Models: s.cfg.Models, Services: s.cfg.Services, SoftwareVersion: s.cfg.SoftwareVersion,
 		Slots: s.cfg.Slots, Running: len(s.running),
 	}
 	if s.view != nil {
--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -43,6 +43,9 @@
 	State       State
 	Models      []string
 	Services    []string
+	// SoftwareVersion is the version of the backend server's software; empty if the agent
+	// was not told.
+	SoftwareVersion string
 	// ConfigVersion is the version of the agent's active configuration.
 	ConfigVersion uint64
 	// Slots is the number of runs that the backend server executes at a time;
--- a/cmd/sesame-agent/main.go
+++ b/cmd/sesame-agent/main.go
@@ -31,6 +31,7 @@
 	BackendKind     string   `default:"engine" validate:"oneof=engine service" help:"Kind of backend server: engine or service."`
 	Models          []string `help:"Models that the engine serves."`
 	Services        []string `help:"Plain services that the backend server provides."`
+	SoftwareVersion string   `help:"Version of the backend server's software. A stream goes on only at the version that began it; servers without one count as the same version."`
 	Slots           int      `default:"16" validate:"min=1,max=100000" help:"Maximum number of requests that the backend server runs at once."`
 	KeptAnswerBytes int64    `default:"67108864" validate:"min=1" help:"Bytes of responses stored for retries with the same idempotency key; above this limit the oldest are discarded and retries get an unknown outcome."`
 	Policy          string   `default:"sesame" validate:"oneof=sesame round-robin least" help:"Scheduling policy; round-robin and least are baselines for experiments."`
@@ -66,7 +67,7 @@
 		Role: provider.RoleAgent, Incarnation: string(incarnation), Address: listener.Addr().String(),
 	}, log)
 	a := agent.New(agent.Config{
-		VM: n.Self, Incarnation: incarnation, Models: f.Models, Services: f.Services,
+		VM: n.Self, Incarnation: incarnation, Models: f.Models, Services: f.Services, SoftwareVersion: f.SoftwareVersion,
 		Slots: f.Slots, StoredResponseBytes: f.KeptAnswerBytes, Policy: policy(f.Policy), Seed: uint64(now.UnixNano()),
 	}, agent.Dependencies{
 		BackendServer: httpprovider.NewBackendServer(f.BackendURL), Configuration: n.Configuration,
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -63,6 +63,8 @@
 type chosenAgent struct {
 	vm          provider.VM
 	incarnation agentapi.Incarnation
+	// softwareVersion is that of its backend server.
+	softwareVersion string
 }
 
 func newAgentTable(cfg Config, deps Dependencies, router *routing.Router) *agentTable {
@@ -220,7 +222,7 @@
 	agent := t.candidateAgents[index]
 	agent.breaker.Allow(now) // the attempt is the trial call of a breaker that is not closed
 	agent.inFlight++
-	return chosenAgent{vm: agent.vm, incarnation: agent.status.Incarnation}, true
+	return chosenAgent{vm: agent.vm, incarnation: agent.status.Incarnation, softwareVersion: agent.status.SoftwareVersion}, true
 }
 
 func (a *agentState) candidate(now time.Time) routing.Candidate {
@@ -228,7 +230,7 @@
 		VM: a.vm.Name, DataCentre: a.vm.DataCentre, State: a.status.State,
 		Slots: a.status.Slots, Running: a.status.Running, Queued: a.status.Queued,
 		WaitByTier: a.status.WaitByTier, ReportedAt: a.lastSeenAt,
-		InFlight: a.inFlight, Allowed: a.breaker.Ready(now),
+		InFlight: a.inFlight, Allowed: a.breaker.Ready(now), SoftwareVersion: a.status.SoftwareVersion,
 	}
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -170,6 +170,9 @@
 	}
 	e.agents.endAttempt(chosen, f.finalObservation(refusal))
 	req.resuming = args.Stream && received.headSent
+	if req.resuming && !req.routing.Begun {
+		req.routing.Begun, req.routing.SoftwareVersion = true, chosen.softwareVersion
+	}
 	return refusal
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -69,6 +69,9 @@
 
 // scriptedServer is a backend server whose responses are set by the test.
 type scriptedServer struct {
+	// softwareVersion is what its agent states.
+	softwareVersion string
+
 	mu   sync.Mutex
 	runs int
 	// respond returns the response to the n-th run, counted from 1.
@@ -200,7 +203,7 @@
 	c := clock.New()
 	a := agent.New(agent.Config{
 		VM: vm, Incarnation: agentapi.Incarnation("life-of-" + vm.Name),
-		Models: []string{"m"}, Services: []string{"booking"}, Slots: 8, StoredResponseBytes: 1 << 20,
+		Models: []string{"m"}, Services: []string{"booking"}, SoftwareVersion: s.softwareVersion, Slots: 8, StoredResponseBytes: 1 << 20,
 	}, agent.Dependencies{
 		BackendServer: s, Configuration: newStore(t, manifest), Clock: c, Metrics: telemetry.New(),
 		Timeline: timeline.New(timeline.Process{}, 256, c),
@@ -310,6 +313,56 @@
 	}
 }
 
+// TestBrokenStreamResumesAtOtherSoftwareVersion guards against a stream that an entry continues at
+// an engine of another software version.
+func TestBrokenStreamResumesAtOtherSoftwareVersion(t *testing.T) {
+	engine := func(version string) *scriptedServer {
+		return &scriptedServer{softwareVersion: version, respond: func(_ int, req provider.Request) (*provider.Response, error) {
+			if bytes.Contains(req.Body, []byte(`"sesame_resume_after":3`)) {
+				return bodyResponse(eventsText(3, 6) + doneEvent), nil
+			}
+			return bodyResponse(eventsText(0, 3)), nil
+		}}
+	}
+	for name, test := range map[string]struct {
+		versions []string
+		want     outcome.Outcome
+	}{
+		"other versions only":      {[]string{"v1", "v2", "v3"}, outcome.Unknown},
+		"one of the same version":  {[]string{"v1", "v2", "v1", "v2"}, outcome.Completed},
+		"no version is configured": {[]string{"", ""}, outcome.Completed},
+	} {
+		var engines []*scriptedServer
+		for _, version := range test.versions {
+			engines = append(engines, engine(version))
+		}
+		d := newTestDeployment(t, manifestText(""), engines...)
+		runs := func() map[string]int { // by version
+			byVersion := make(map[string]int)
+			for _, e := range engines {
+				byVersion[e.softwareVersion] += e.runCount()
+			}
+			return byVersion
+		}
+		for range 4 {
+			before := runs()
+			w := d.do(0, http.MethodPost, "/v1/chat/completions", streamBody)
+			if got := outcomeOf(w); got != test.want {
+				t.Errorf("%s: outcome %s, want %s", name, got, test.want)
+			}
+			versions := 0
+			for version, n := range runs() {
+				if n > before[version] {
+					versions++
+				}
+			}
+			if versions != 1 {
+				t.Errorf("%s: a stream ran at %d versions, want one", name, versions)
+			}
+		}
+	}
+}
+
 func TestBrokenStreamHasResumeWindowAfterItsTarget(t *testing.T) {
 	class := &manifest.Class{Tier: manifest.TopTier, Targets: manifest.Targets{FirstToken: time.Second}}
 	r := &request{class: class, receivedAt: time.Unix(100, 0), args: agentapi.SubmitArgs{Stream: true}}
--- a/routing/router.go
+++ b/routing/router.go
@@ -57,7 +57,8 @@
 
 // eligible reports whether the candidate may be chosen at all.
 func eligible(req *Request, c *Candidate) bool {
-	return c.Allowed && c.State == agentapi.StateServing && !req.Excluded[c.VM]
+	return c.Allowed && c.State == agentapi.StateServing && !req.Excluded[c.VM] &&
+		(!req.Begun || c.SoftwareVersion == req.SoftwareVersion)
 }
 
 // Pick returns the index of the chosen candidate; ok is false when no candidate
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -72,6 +72,8 @@
 	InFlight int
 	// Allowed is false while the agent's circuit breaker is open.
 	Allowed bool
+	// SoftwareVersion is the version of the backend server's software; empty if unknown.
+	SoftwareVersion string
 }
 
 // Request describes a request for which an agent is chosen. Pick does not use
@@ -91,6 +93,10 @@
 	// Excluded holds the VMs whose agents must not be picked, as the request was
 	// already sent to them.
 	Excluded map[string]bool
+	// Begun reports whether the caller has received a part of a stream, which goes on only at
+	// SoftwareVersion, the one that began it.
+	Begun           bool
+	SoftwareVersion string
 }
 
 // ObservationKind is what an Observation reports.
