--- a/directory/versions.go
+++ b/directory/versions.go
@@ -65,9 +65,19 @@
 	SeveralVersions
 )
 
+// startMargin is how much longer than the span servers must have run for a directory that does
+// not cover it. It covers the time for which a server that is replaced still gets requests after
+// its successor has started, and jumps of the time of day.
+const startMargin = 10 * time.Second
+
 // SoleVersion returns whether all servers of the service that were listed during the span
-// before now, also draining ones, had the same software version, and which one.
-func (d *Directory) SoleVersion(now time.Time, service string, span time.Duration) (string, Versions) {
+// before now, also draining ones, had the same software version, and which one. wallClock is
+// the time of day.
+//
+// A directory that was listed later than the span began does not know who left before. It then
+// answers only if all servers have run for longer: a version that was replaced during the span
+// would have a successor that started in it.
+func (d *Directory) SoleVersion(now time.Time, service string, span time.Duration, wallClock time.Time) (string, Versions) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	sole, found := "", false
@@ -77,18 +87,24 @@
 		}
 		return version != sole || version == ""
 	}
+	allOld := true
+	startedBefore := wallClock.Add(-span - startMargin).UnixMilli()
 	for _, r := range d.records {
-		if r.server != nil && r.server.Service == service && differs(r.server.SoftwareVersion) {
+		if r.server == nil || r.server.Service != service {
+			continue
+		}
+		if differs(r.server.SoftwareVersion) {
 			return "", SeveralVersions
 		}
+		allOld = allOld && r.server.StartedAtMs > 0 && r.server.StartedAtMs < startedBefore
 	}
 	for version, at := range d.versions.lastListed[service] {
 		if now.Sub(at) <= span && differs(version) {
 			return "", SeveralVersions
 		}
 	}
-	covered := !d.versions.completeSince.IsZero() && now.Sub(d.versions.completeSince) >= span && span <= versionHold
-	if !found || !covered {
+	covered := now.Sub(d.versions.completeSince) >= span && span <= versionHold || allOld
+	if !found || d.versions.completeSince.IsZero() || !covered {
 		return "", VersionsUnknown
 	}
 	return sole, OneVersion
--- a/directory/versions_test.go
+++ b/directory/versions_test.go
@@ -11,6 +11,7 @@
 func TestSoleVersion(t *testing.T) {
 	const span = 8 * time.Second
 	start := time.Unix(1_000_000, 0)
+	wallClock := time.UnixMilli(1) // all servers have just started
 	server := func(id, version string, startedAtMs int64) *BackendServer {
 		return &BackendServer{ID: id, Service: "llm", Address: "10.0.0.1:80", SoftwareVersion: version, StartedAtMs: startedAtMs}
 	}
@@ -34,24 +35,58 @@
 		d := New()
 		d.Replace(start, []Change{{ID: "a", Revision: 1, Server: server("a", "v1", 1)}}, 1)
 		d.Apply(start.Add(time.Second), test.changes, 3)
-		if version, got := d.SoleVersion(start.Add(test.after), "llm", span); got != test.want || got == OneVersion && version != "v1" {
+		if version, got := d.SoleVersion(start.Add(test.after), "llm", span, wallClock); got != test.want || got == OneVersion && version != "v1" {
 			t.Errorf("%s: got %q %v, want %v", test.name, version, got, test.want)
 		}
 	}
-	if _, got := New().SoleVersion(start, "llm", span); got != VersionsUnknown {
+	if _, got := New().SoleVersion(start, "llm", span, wallClock); got != VersionsUnknown {
 		t.Errorf("without a listing: got %v, want VersionsUnknown", got)
 	}
 }
 
+// TestSoleVersionOfOldServers checks that a directory that was just listed knows that one version
+// alone has served if all servers have run for longer than the span and startMargin.
+func TestSoleVersionOfOldServers(t *testing.T) {
+	const span = 8 * time.Second
+	now, wallClock := time.Unix(1_000_000, 0), time.UnixMilli(1_764_800_000_000)
+	started := func(ago time.Duration) int64 { return wallClock.Add(-ago).UnixMilli() }
+	for _, test := range []struct {
+		name                string
+		first, second       int64
+		secondVersion       string
+		want                Versions
+		removedAfterListing bool
+	}{
+		{"all old", started(time.Hour), started(time.Hour), "v1", OneVersion, false},
+		{"one started lately", started(time.Hour), started(span + startMargin), "v1", VersionsUnknown, false},
+		{"one started after now", started(time.Hour), started(-time.Second), "v1", VersionsUnknown, false},
+		{"one does not state its start", started(time.Hour), 0, "v1", VersionsUnknown, false},
+		{"two versions", started(time.Hour), started(time.Hour), "v2", SeveralVersions, false},
+		{"two versions, one removed after the listing", started(time.Hour), started(time.Hour), "v2", SeveralVersions, true},
+	} {
+		d := New()
+		d.Replace(now, []Change{
+			{ID: "a", Revision: 1, Server: &BackendServer{ID: "a", Service: "llm", SoftwareVersion: "v1", StartedAtMs: test.first}},
+			{ID: "b", Revision: 2, Server: &BackendServer{ID: "b", Service: "llm", SoftwareVersion: test.secondVersion, StartedAtMs: test.second}},
+		}, 2)
+		if test.removedAfterListing {
+			d.Apply(now, []Change{{ID: "b", Revision: 3, Removed: true}}, 3)
+		}
+		if version, got := d.SoleVersion(now, "llm", span, wallClock); got != test.want || got == OneVersion && version != "v1" {
+			t.Errorf("%s: got %q %v, want %v", test.name, version, got, test.want)
+		}
+	}
+}
+
 // TestListingEndsVersionHistory checks that a complete listing, before which servers may have
 // come and gone unseen, starts the span anew.
 func TestListingEndsVersionHistory(t *testing.T) {
-	start := time.Unix(1_000_000, 0)
+	start, wallClock := time.Unix(1_000_000, 0), time.UnixMilli(1)
 	d := New()
 	changes := []Change{{ID: "a", Revision: 1, Server: &BackendServer{ID: "a", Service: "llm", SoftwareVersion: "v1"}}}
 	d.Replace(start, changes, 1)
 	d.Replace(start.Add(time.Minute), changes, 2)
-	if _, got := d.SoleVersion(start.Add(time.Minute+time.Second), "llm", 8*time.Second); got != VersionsUnknown {
+	if _, got := d.SoleVersion(start.Add(time.Minute+time.Second), "llm", 8*time.Second, wallClock); got != VersionsUnknown {
 		t.Errorf("got %v, want VersionsUnknown", got)
 	}
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -130,7 +130,7 @@
 // SoleVersion returns whether all servers of the service had the same software version
 // during the span before now, and which one. It does not know if the view is old.
 func (v *View) SoleVersion(service string, span time.Duration) (string, directory.Versions) {
-	version, versions := v.directory.SoleVersion(time.Unix(0, int64(v.elapsed())), service, span)
+	version, versions := v.directory.SoleVersion(time.Unix(0, int64(v.elapsed())), service, span, time.Now())
 	if versions == directory.OneVersion && v.Age() > maxVersionsViewAge {
 		return "", directory.VersionsUnknown
 	}
