--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -203,10 +203,14 @@
 	return defaultTimeout
 }
 
+// named reports whether the stream of the request has a key of its own: it is new, or its caller
+// names the request that began it.
+func (req *request) named() bool { return req.ResumeAfter == 0 || req.Resumes != "" }
+
 // recordOrigin records where the stream of the request began or goes on, and tells it other
 // gateways, so that its caller can take it up there.
 func (s *Server) recordOrigin(req *request) {
-	if req.originRecorded || req.continuation.softwareVersion == "" || !req.route.Idempotent() {
+	if req.originRecorded || !req.named() || req.continuation.softwareVersion == "" || !req.route.Idempotent() {
 		return
 	}
 	req.originRecorded = true
