Send nothing to evacuated data centres; read for how long servers are cold

What is known stays until the end was read; a listing that began before a key does not end it. The field WarmUpUntil, which nothing set, became ColdFor.

--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -69,6 +69,10 @@
 	// each RetryWindow in addition.
 	RetryExtra  int
 	RetryWindow time.Duration
+	// A cold backend server gets at most its rate, in requests per second, times ColdExcess,
+	// plus ColdExtra requests in any second from all gateways together.
+	ColdExcess float64
+	ColdExtra  float64
 	// PrefixReuseWindow is how long after its last use a cached prefix still
 	// counts as reusable.
 	PrefixReuseWindow time.Duration
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -9,7 +9,8 @@
 // an outage of the store stays usable until LeaseExpiryGrace after the store's
 // recovery. After a restore of the store from an older copy the same holds for entries
 // that the copy lacks, and an incarnation that was removed before does not become usable
-// because the copy still has its entry.
+// because the copy still has its entry. No server of an evacuated data centre is usable from
+// the change or listing that reports the evacuation until one that reports its end.
 package directory
 
 import (
@@ -41,8 +42,9 @@
 	// StartedAtMs is the Unix time of the server's start, in milliseconds; zero
 	// if unknown. It distinguishes the incarnations of a server.
 	StartedAtMs int64
-	// WarmUpUntil is when the server reaches its full speed.
-	WarmUpUntil time.Time
+	// ColdFor is how long the server stays cold after it wrote this version of its entry;
+	// zero if it is not cold.
+	ColdFor time.Duration
 }
 
 // Change is one version of a registry entry, or its removal.
@@ -81,6 +83,8 @@
 	versionStartedAtMs int64
 	// writtenAt is when the newest version of the entry was applied.
 	writtenAt time.Time
+	// coldUntil is until when the server is cold according to its entry.
+	coldUntil time.Time
 	// draining reports whether the incarnation that started at drainingStartedAtMs
 	// has announced that it is draining. An undecodable version does not undo it.
 	draining            bool
@@ -131,11 +135,13 @@
 	removed map[string]removedServer
 	// versions holds the software versions of entries that were replaced or removed.
 	versions versionHistory
+	// evacuations holds the data centres that are, or were, evacuated.
+	evacuations map[string]*evacuationState
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{records: make(map[string]*record), byService: make(map[string][]*BackendServer), removed: make(map[string]removedServer), versions: newVersionHistory()}
+	return &Directory{records: make(map[string]*record), byService: make(map[string][]*BackendServer), removed: make(map[string]removedServer), versions: newVersionHistory(), evacuations: make(map[string]*evacuationState)}
 }
 
 // Revision returns the newest store revision that was applied.
@@ -274,6 +280,7 @@
 	d.versions.ended(now, r.server)
 	r.server = c.Server
 	if c.Server != nil {
+		r.coldUntil = now.Add(c.Server.ColdFor)
 		stillDraining := r.draining && r.drainingStartedAtMs == c.Server.StartedAtMs
 		if stillDraining && !c.Server.Draining {
 			draining := *c.Server
@@ -353,7 +360,7 @@
 func (d *Directory) rebuildIndex() {
 	byService := make(map[string][]*BackendServer, len(d.byService))
 	for _, r := range d.records {
-		if r.server != nil && !r.server.Draining {
+		if r.server != nil && !r.server.Draining && !d.isEvacuated(r.server.DataCentre) {
 			byService[r.server.Service] = append(byService[r.server.Service], r.server)
 		}
 	}
@@ -396,5 +403,5 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	r := d.records[s.ID]
-	return r != nil && r.server != nil && !r.server.Draining && r.server.StartedAtMs == s.StartedAtMs && r.server.Address == s.Address
+	return r != nil && r.server != nil && !r.server.Draining && !d.isEvacuated(r.server.DataCentre) && r.server.StartedAtMs == s.StartedAtMs && r.server.Address == s.Address
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -133,7 +133,7 @@
 	d.Apply(epoch, []Change{readyEntry("a", 1), readyEntry("b", 2)}, 2)
 	first := d.Usable("app")
 	renewed := readyEntry("a", 3)
-	renewed.Server.WarmUpUntil = epoch.Add(time.Second)
+	renewed.Server.ColdFor = time.Second
 	d.Apply(epoch, []Change{renewed, readyEntry("b", 4)}, 4)
 	if renewedList := d.Usable("app"); &renewedList[0] != &first[0] {
 		t.Error("a renewal changed the list")
--- /dev/null
+++ b/directory/evacuation.go
@@ -0,0 +1,147 @@
+package directory
+
+import "time"
+
+// Evacuation reports that a data centre is evacuated, or that this has ended: while it is
+// evacuated, no request may be sent to its backend servers.
+type Evacuation struct {
+	DataCentre string
+	// Revision is the store revision at which the evacuation, or its end, was written.
+	Revision uint64
+	// Ended reports whether the evacuation has ended.
+	Ended bool
+}
+
+// EvacuationEvent reports that a data centre was evacuated, or that this has ended.
+type EvacuationEvent struct {
+	Evacuation
+	// Servers is the number of backend servers known in the data centre. It is zero if the
+	// operator named a data centre that does not exist; the evacuation then has no effect.
+	Servers int
+}
+
+// maxEvacuations limits the evacuated data centres that are remembered, in case the store
+// holds many keys by mistake. A deployment has some ten data centres.
+const maxEvacuations = 1024
+
+// evacuationState is what is known of one data centre.
+type evacuationState struct {
+	evacuated bool
+	// revision is that of the last change.
+	revision uint64
+	// endedAt is when the end of the last evacuation was applied; zero if there was none.
+	endedAt time.Time
+}
+
+// ApplyEvacuations applies changes in the order in which the store reported them.
+func (d *Directory) ApplyEvacuations(now time.Time, changes []Evacuation) []EvacuationEvent {
+	if len(changes) == 0 {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.applyEvacuations(now, changes)
+}
+
+// ReplaceEvacuations applies a complete listing of the evacuated data centres that began at
+// the revision. An evacuation that the listing lacks has ended, unless it is newer than the
+// listing. If the store was restored from an older copy, revisions say nothing, and the
+// listing replaces all that was known.
+func (d *Directory) ReplaceEvacuations(now time.Time, listed []Evacuation, revision uint64, restored bool) []EvacuationEvent {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changes := make([]Evacuation, 0, len(listed))
+	found := make(map[string]bool, len(listed))
+	for _, e := range listed {
+		found[e.DataCentre] = true
+		changes = append(changes, e)
+	}
+	for name, state := range d.evacuations {
+		if restored {
+			state.revision = 0
+		}
+		if state.evacuated && !found[name] && state.revision <= revision {
+			changes = append(changes, Evacuation{DataCentre: name, Revision: revision, Ended: true})
+		}
+	}
+	return d.applyEvacuations(now, changes)
+}
+
+// applyEvacuations applies changes and rebuilds the index if one has an effect. The caller
+// holds mu.
+func (d *Directory) applyEvacuations(now time.Time, changes []Evacuation) []EvacuationEvent {
+	var events []EvacuationEvent
+	for _, c := range changes {
+		state := d.evacuations[c.DataCentre]
+		if state == nil {
+			if c.Ended || len(d.evacuations) >= maxEvacuations {
+				continue
+			}
+			state = &evacuationState{}
+			d.evacuations[c.DataCentre] = state
+		}
+		if c.Revision < state.revision {
+			continue
+		}
+		state.revision = c.Revision
+		if state.evacuated == !c.Ended {
+			continue
+		}
+		state.evacuated = !c.Ended
+		if c.Ended {
+			state.endedAt = now
+		}
+		events = append(events, EvacuationEvent{Evacuation: c, Servers: d.serversIn(c.DataCentre)})
+	}
+	if events != nil {
+		d.rebuildIndex()
+	}
+	return events
+}
+
+// serversIn returns the number of known backend servers of a data centre. The caller holds mu.
+func (d *Directory) serversIn(dataCentre string) int {
+	n := 0
+	for _, r := range d.records {
+		if r.server != nil && r.server.DataCentre == dataCentre {
+			n++
+		}
+	}
+	return n
+}
+
+// isEvacuated reports whether a data centre is evacuated. The caller holds mu.
+func (d *Directory) isEvacuated(dataCentre string) bool {
+	state := d.evacuations[dataCentre]
+	return state != nil && state.evacuated
+}
+
+// Evacuated reports whether some servers of the service would be usable if no data centre
+// were evacuated.
+func (d *Directory) Evacuated(service string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, r := range d.records {
+		if r.server != nil && r.server.Service == service && !r.server.Draining && d.isEvacuated(r.server.DataCentre) {
+			return true
+		}
+	}
+	return false
+}
+
+// ColdFor returns for how long the incarnation of a backend server is expected to stay cold.
+// A server whose data centre was evacuated may have become cold before the end of the
+// evacuation: it counts as cold for coldTime from the end, until it writes its entry again.
+func (d *Directory) ColdFor(now time.Time, s *BackendServer, coldTime time.Duration) time.Duration {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	r := d.records[s.ID]
+	if r == nil || r.server == nil || r.server.StartedAtMs != s.StartedAtMs {
+		return 0
+	}
+	cold := max(0, r.coldUntil.Sub(now))
+	if state := d.evacuations[s.DataCentre]; state != nil && !state.endedAt.IsZero() && r.revision < state.revision {
+		cold = max(cold, state.endedAt.Add(coldTime).Sub(now))
+	}
+	return cold
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -256,7 +256,7 @@
 	}
 	info := &AttemptInfo{ServerID: chosen.server.ID, Account: account, TimeRemaining: remaining, Rank: req.rank(), ResumeAfter: fwd.resumeAfter(), TransferSource: chosen.transferSource}
 	req.log.WithFields(logrus.Fields{
-		"event": "attempt_sent", "server": chosen.server.ID, "address": chosen.server.Address, "service": req.service.Name, "route": req.route.Name,
+		"event": "attempt_sent", "server": chosen.server.ID, "address": chosen.server.Address, "data_centre": chosen.server.DataCentre, "service": req.service.Name, "route": req.route.Name,
 		"version": req.table.Version, "view_age_ms": s.deps.View.Age().Milliseconds(), "left_ms": remaining.Milliseconds(), "urgency": info.Rank,
 		"cost_ms": int(chosen.choice.Cost), "read_ms": int(chosen.choice.ServiceTime), "wait_ms": int(chosen.choice.Wait), "penalty_ms": int(chosen.choice.Penalty),
 		"prompt_tokens": req.job.PromptTokens, "output_tokens": req.job.OutputTokens, "uncached_tokens": chosen.choice.UncachedTokens,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,8 +86,10 @@
 	Limit       float64
 	// LimitInvalid reports whether the stated limit was ignored because it is not valid.
 	LimitInvalid bool
-	// InvalidFields names the header fields that were ignored because their value is
-	// not valid.
+	// ColdFor is how long the server states that it stays cold; zero if it does not.
+	ColdFor time.Duration
+	// InvalidFields names the header fields that were ignored, or bounded, because their
+	// value is not valid.
 	InvalidFields []string
 	// LoadKnown reports whether the response states the server's load: the
 	// numbers of running and waiting requests, and of slots.
@@ -95,6 +97,10 @@
 	Running, Waiting, Slots int
 }
 
+// MaxColdTime bounds the time for which a backend server states that it stays cold. Servers
+// are cold for some seconds; a longer time is a mistake that would keep requests away.
+const MaxColdTime = time.Minute
+
 // Codec translates between the wire format and the types above. It makes no
 // decisions.
 type Codec interface {
@@ -126,6 +132,8 @@
 	Table *routes.Table
 	// ServerChanges hold one version of each backend server's registry entry.
 	ServerChanges []directory.Change
+	// Evacuations are the evacuated data centres.
+	Evacuations []directory.Evacuation
 	// EntryErrors are the errors of entries that could not be decoded.
 	EntryErrors []error
 }
@@ -140,6 +148,7 @@
 	// TableUnreadable reports whether the newest version could not be decoded.
 	TableUnreadable bool
 	ServerChanges   []directory.Change
+	Evacuations     []directory.Evacuation
 	EntryErrors     []error
 }
 
--- a/gateway/pushback.go
+++ b/gateway/pushback.go
@@ -56,8 +56,11 @@
 func (s *Server) reasonWithoutServer(req *request) string {
 	now := s.deps.Clock.Now()
 	reason := "no_backend_server"
-	if req.continuation != nil {
+	switch {
+	case req.continuation != nil:
 		reason = "no_server_of_version"
+	case s.deps.Directory.Evacuated(req.service.Name):
+		reason = "data_centres_evacuated"
 	}
 	for _, b := range s.deps.Directory.Usable(req.service.Name) {
 		switch {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -298,7 +298,9 @@
 		v.newerUnreadable.Store(delta.TableUnreadable)
 	}
 	v.confirm(start, delta.Era)
-	v.reportEvents(v.directory.Apply(time.Unix(0, int64(v.elapsed())), delta.ServerChanges, delta.Revision), delta.EntryErrors)
+	now := time.Unix(0, int64(v.elapsed()))
+	v.reportEvacuations(v.directory.ApplyEvacuations(now, delta.Evacuations))
+	v.reportEvents(v.directory.Apply(now, delta.ServerChanges, delta.Revision), delta.EntryErrors)
 	return nil
 }
 
@@ -334,15 +336,18 @@
 	}
 	v.activate(snapshot.Table, "list")
 	now := time.Unix(0, int64(v.elapsed()))
-	replace := v.directory.Replace
-	if v.listed.Load() && snapshot.Era != v.listedEra {
-		replace = v.directory.Restore
-	}
-	events, ok := replace(now, snapshot.ServerChanges, snapshot.Revision)
-	if !ok {
+	restored := v.listed.Load() && snapshot.Era != v.listedEra
+	if !restored && snapshot.Revision < v.directory.Revision() {
 		v.log.WithFields(logrus.Fields{"event": "list_refused", "revision": snapshot.Revision}).Warn("listing older than the directory refused")
 		return errors.New("gateway: the listing is older than the directory")
 	}
+	// Before the servers, so that none of an evacuated data centre is usable in between.
+	v.reportEvacuations(v.directory.ReplaceEvacuations(now, snapshot.Evacuations, snapshot.Revision, restored))
+	replace := v.directory.Replace
+	if restored {
+		replace = v.directory.Restore
+	}
+	events, _ := replace(now, snapshot.ServerChanges, snapshot.Revision)
 	v.listed.Store(true)
 	v.listedEra = snapshot.Era
 	// A store that was restored may have lost the configuration that is active.
@@ -383,6 +388,24 @@
 	v.log.WithError(err).WithFields(logrus.Fields{"event": "store_lost", "age_ms": v.Age().Milliseconds()}).Warn("store unavailable; serving from the last known state")
 }
 
+// reportEvacuations logs which data centres were evacuated and where that has ended.
+func (v *View) reportEvacuations(events []directory.EvacuationEvent) {
+	for _, e := range events {
+		entry := v.log.WithFields(logrus.Fields{"data_centre": e.DataCentre, "revision": e.Revision, "servers": e.Servers})
+		if e.Ended {
+			entry.WithField("event", "data_centre_restored").Info("evacuation of a data centre has ended")
+			continue
+		}
+		entry.WithField("event", "data_centre_evacuated").Info("data centre is evacuated; no request is sent to its backend servers")
+	}
+}
+
+// ColdFor returns for how long a backend server is expected to stay cold, as far as the store
+// shows; coldTime is how long servers of its service are cold after they start.
+func (v *View) ColdFor(s *directory.BackendServer, coldTime time.Duration) time.Duration {
+	return v.directory.ColdFor(time.Unix(0, int64(v.elapsed())), s, coldTime)
+}
+
 // reportEvents logs state changes in the directory and undecodable entries, and
 // calls onRemoved for each removed backend server.
 func (v *View) reportEvents(events []directory.Event, entryErrors []error) {
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -76,6 +76,11 @@
 	// MaxConnections limits the connections of all gateways together to one
 	// backend server; zero means no limit.
 	MaxConnections int
+	// ColdTime is how long a backend server is cold after it starts. While it is cold, it
+	// takes ColdRate requests per second from all gateways together, and may crash well above
+	// that. Zero means that servers are not limited while they are cold.
+	ColdTime time.Duration
+	ColdRate float64
 	// Engine is set for services that generate tokens.
 	Engine *Engine
 }
