--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -1,6 +1,10 @@
 package directory
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Evacuation reports that a data centre is evacuated, or that this has ended: while it is
 // evacuated, no request may be sent to its backend servers.
@@ -8,8 +12,9 @@
 	DataCentre string
 	// Revision is the store revision at which the evacuation, or its end, was written.
 	Revision uint64
-	// Ended reports whether the evacuation has ended.
+	// Ended reports whether the evacuation has ended, Age how long ago this became known.
 	Ended bool
+	Age   time.Duration
 }
 
 // EvacuationEvent reports that a data centre was evacuated, or that this has ended.
@@ -20,6 +25,10 @@
 	Servers int
 }
 
+// endedHold is how long the end of an evacuation is reported to other gateways. It is longer
+// than servers stay cold after it, and than a gateway is usually cut off from the store.
+const endedHold = 30 * time.Second
+
 // maxEvacuations limits the evacuated data centres that are remembered, in case the store
 // holds many keys by mistake. A deployment has some ten data centres.
 const maxEvacuations = 1024
@@ -43,6 +52,25 @@
 	return d.applyEvacuations(now, changes)
 }
 
+// Evacuations returns the evacuated data centres, and those whose evacuation has ended within
+// endedHold, sorted by name.
+func (d *Directory) Evacuations(now time.Time) []Evacuation {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var known []Evacuation
+	for name, state := range d.evacuations {
+		e := Evacuation{DataCentre: name, Revision: state.revision, Ended: !state.evacuated}
+		if e.Ended {
+			e.Age = max(0, now.Sub(state.endedAt))
+		}
+		if e.Age <= endedHold {
+			known = append(known, e)
+		}
+	}
+	slices.SortFunc(known, func(a, b Evacuation) int { return strings.Compare(a.DataCentre, b.DataCentre) })
+	return known
+}
+
 // ReplaceEvacuations applies a complete listing of the evacuated data centres that began at
 // the revision. An evacuation that the listing lacks has ended, unless it is newer than the
 // listing. If the store was restored from an older copy, revisions say nothing, and the
@@ -74,7 +102,7 @@
 	for _, c := range changes {
 		state := d.evacuations[c.DataCentre]
 		if state == nil {
-			if c.Ended || len(d.evacuations) >= maxEvacuations {
+			if len(d.evacuations) >= maxEvacuations {
 				continue
 			}
 			state = &evacuationState{}
@@ -83,13 +111,14 @@
 		if c.Revision < state.revision {
 			continue
 		}
+		isNew := state.revision == 0
 		state.revision = c.Revision
-		if state.evacuated == !c.Ended {
+		if state.evacuated == !c.Ended && !(isNew && c.Ended) {
 			continue
 		}
 		state.evacuated = !c.Ended
 		if c.Ended {
-			state.endedAt = now
+			state.endedAt = now.Add(-c.Age)
 		}
 		events = append(events, EvacuationEvent{Evacuation: c, Servers: d.serversIn(c.DataCentre)})
 	}
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -155,7 +155,7 @@
 		Codec: p.Codec, View: d.view, Directory: d.directory, Scheduler: scheduler, Pool: d.pool, Gateways: d.peers, Origins: d.peers,
 		Clock: monotonic, Elapsed: elapsed, Metrics: d.metrics, Log: d.log, Settings: d.settings.Load, Seed: o.Seed,
 	})
-	d.peers.Limits, d.peers.Crashes, d.peers.Origins = d.server, d.server, d.server
+	d.peers.Limits, d.peers.Crashes, d.peers.Origins, d.peers.Evacuations = d.server, d.server, d.server, d.view
 	d.ingress = ingress.New(ingress.Config{
 		Handle: d.handle, Limits: d.limits, CloseAfterResponse: d.closeAfterResponse, OnRefusal: d.onIngressRefusal,
 	})
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -176,8 +176,10 @@
 	// what is known of requests that crash them.
 	Limits  LimitExchange
 	Crashes CrashExchange
-	// Origins, if set before Run, exchanges where streams began.
-	Origins OriginExchange
+	// Origins, if set before Run, exchanges where streams began, Evacuations which data centres
+	// are evacuated.
+	Origins     OriginExchange
+	Evacuations EvacuationExchange
 	// conn is nil until Run listens.
 	conn atomic.Pointer[net.UDPConn]
 }
@@ -427,6 +429,7 @@
 	}
 	p.nextListed += len(listed)
 	listed = append(listed, p.limitEntries(now)...)
+	listed = append(listed, p.evacuationEntries()...)
 	return targets, peerMessage{From: p.address, Known: append(listed, countEntry(p.ownCount()), dataCentreMark+p.dataCentre)}
 }
 
@@ -462,6 +465,7 @@
 	p.recordMessage(now, message)
 	p.applyLimitEntries(now, message) // without mu, which Position needs
 	p.applyCrashEntries(now, message)
+	p.applyEvacuationEntries(message)
 }
 
 // recordMessage records the sender and the listed peers of a message, and applies the
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -299,7 +299,7 @@
 	}
 	v.confirm(start, delta.Era)
 	now := time.Unix(0, int64(v.elapsed()))
-	v.reportEvacuations(v.directory.ApplyEvacuations(now, delta.Evacuations))
+	v.reportEvacuations(v.directory.ApplyEvacuations(now, delta.Evacuations), logrus.Fields{"source": "watch"})
 	v.reportEvents(v.directory.Apply(now, delta.ServerChanges, delta.Revision), delta.EntryErrors)
 	return nil
 }
@@ -342,7 +342,7 @@
 		return errors.New("gateway: the listing is older than the directory")
 	}
 	// Before the servers, so that none of an evacuated data centre is usable in between.
-	v.reportEvacuations(v.directory.ReplaceEvacuations(now, snapshot.Evacuations, snapshot.Revision, restored))
+	v.reportEvacuations(v.directory.ReplaceEvacuations(now, snapshot.Evacuations, snapshot.Revision, restored), logrus.Fields{"source": "list"})
 	replace := v.directory.Replace
 	if restored {
 		replace = v.directory.Restore
@@ -389,9 +389,9 @@
 }
 
 // reportEvacuations logs which data centres were evacuated and where that has ended.
-func (v *View) reportEvacuations(events []directory.EvacuationEvent) {
+func (v *View) reportEvacuations(events []directory.EvacuationEvent, source logrus.Fields) {
 	for _, e := range events {
-		entry := v.log.WithFields(logrus.Fields{"data_centre": e.DataCentre, "revision": e.Revision, "servers": e.Servers})
+		entry := v.log.WithFields(source).WithFields(logrus.Fields{"data_centre": e.DataCentre, "revision": e.Revision, "servers": e.Servers})
 		if e.Ended {
 			entry.WithField("event", "data_centre_restored").Info("evacuation of a data centre has ended")
 			continue
