--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -113,7 +113,7 @@
 		}
 		isNew := state.revision == 0
 		state.revision = c.Revision
-		if state.evacuated == !c.Ended && !(isNew && c.Ended) {
+		if state.evacuated == !c.Ended && (!isNew || !c.Ended) {
 			continue
 		}
 		state.evacuated = !c.Ended
