Use the slowness that backend servers state in the fourth figure of their load

A fourth figure made the whole load header unreadable, so the other three figures were lost too. The scheduler multiplies its estimates of prefill and wait, and the pending prefill at which an engine is full, by it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -378,6 +378,9 @@
 	if info.LoadKnown {
 		s.deps.Scheduler.ReportLoad(s.deps.Clock.Now(), active.server.ID, info.Running, info.Waiting)
 	}
+	if info.Slowness > 0 {
+		s.deps.Scheduler.ReportSlowness(s.deps.Clock.Now(), active.server.ID, info.Slowness)
+	}
 	s.applyStatements(active, info)
 	if info.NotRun {
 		s.drainBody(ex)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -45,7 +45,7 @@
 	}
 	servers := make([]routing.Server, len(usable))
 	for i, b := range usable {
-		servers[i] = routing.Server{ID: b.ID, DataCentre: b.DataCentre, SoftwareVersion: b.SoftwareVersion, Slots: b.Slots}
+		servers[i] = routing.Server{ID: b.ID, DataCentre: b.DataCentre, SoftwareVersion: b.SoftwareVersion, StartedAtMs: b.StartedAtMs, Slots: b.Slots}
 	}
 	s.candidateLists[service] = candidateList{usable: usable, servers: servers}
 	return servers
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,9 @@
 	// numbers of running and waiting requests, and of slots.
 	LoadKnown               bool
 	Running, Waiting, Slots int
+	// Slowness is how many times longer than usual the server states that work takes on
+	// its machine now: 1 means as usual, 0 that it does not state it.
+	Slowness float64
 }
 
 // Codec translates between the wire format and the types above. It makes no
--- a/routing/hint.go
+++ b/routing/hint.go
@@ -89,8 +89,11 @@
 func (s *Scheduler) Changed() <-chan struct{} { return s.changed }
 
 // urgent reports whether the pending prefill differs by urgentTokens from what the
-// last hint showed.
+// last hint showed, or the server has stated that it is much slower.
 func (st *serverState) urgent() bool {
+	if st.speed.statedUrgent {
+		return true
+	}
 	difference := st.pendingPrefill - st.advertisedPrefill
 	return difference >= urgentTokens || difference <= -urgentTokens
 }
--- a/routing/scheduler.go
+++ b/routing/scheduler.go
@@ -174,6 +174,9 @@
 	// SoftwareVersion is the version of the server's software. KV cache is transferred only
 	// between servers of the same one.
 	SoftwareVersion string
+	// StartedAtMs is the Unix time of the server's start, in milliseconds; zero if
+	// unknown. Incarnations with the same ID differ in it.
+	StartedAtMs int64
 	// Slots is how many requests a server of a plain service runs concurrently; it
 	// is not used for engines.
 	Slots int
@@ -394,31 +397,33 @@
 func (s *Scheduler) estimate(now time.Time, j *Job, service *serviceState, st *candidate, server *Server, assumeFirstCached, latencySensitive bool, p *placement) Choice {
 	l := st.load(now)
 	c := Choice{}
+	timeFactor := st.speed.timeFactor(now)
 	if j.Generates {
+		prefillRate := service.prefillRate / timeFactor
 		match := s.matchOf(st.serverState, j)
 		c.UncachedTokens = match.uncached
 		prefill := match.uncached
 		if assumeFirstCached {
 			prefill = st.uncachedTokens(j, true)
 		}
-		c.ServiceTime = float64(prefill) / service.prefillRate
-		penalty := (duplicatePrefillWeight + p.fleet.medianWait/duplicateWaitUnit) * float64(max(0, prefill-p.minUncached)) / service.prefillRate
+		c.ServiceTime = float64(prefill) / prefillRate
+		penalty := (duplicatePrefillWeight + p.fleet.medianWait/duplicateWaitUnit) * float64(max(0, prefill-p.minUncached)) / prefillRate
 		source := p.transferSource(st)
-		if transfer, saved := st.transferCost(j, server.DataCentre, match.prefilled, source); saved > 0 && transfer < penalty+float64(saved)/service.prefillRate {
+		if transfer, saved := st.transferCost(j, server.DataCentre, match.prefilled, source); saved > 0 && transfer < penalty+float64(saved)/prefillRate {
 			c.TransferSource = source.server.id
 			c.UncachedTokens = max(0, c.UncachedTokens-saved)
-			c.ServiceTime = float64(c.UncachedTokens) / service.prefillRate
+			c.ServiceTime = float64(c.UncachedTokens) / prefillRate
 			penalty = transfer
 		}
 		c.Penalty += penalty
-		c.Wait = pendingPrefillWeight*float64(l.pendingPrefill)/service.prefillRate + inFlightPenalty*float64(l.inFlight)
+		c.Wait = pendingPrefillWeight*float64(l.pendingPrefill)/prefillRate + inFlightPenalty*timeFactor*float64(l.inFlight)
 		overflow := j.cacheOverflow(l.unsharedTokens)
 		limit := maxPendingPrefill * (1 - rankReserve*float64(j.Rank))
-		c.Full = overflow > 0 || (float64(l.pendingPrefill)+p.contenders*st.recentTokensNow(now))/service.prefillRate > limit
-		c.Wait += cacheOverflowWeight * overflow / service.prefillRate
-		c.Penalty += interference(l, latencySensitive, c.ServiceTime, service)
+		c.Full = overflow > 0 || (float64(l.pendingPrefill)+p.contenders*st.recentTokensNow(now))/prefillRate > limit
+		c.Wait += cacheOverflowWeight * overflow / prefillRate
+		c.Penalty += interference(l, latencySensitive, c.ServiceTime, prefillRate)
 	} else {
-		serviceTime := service.meanServiceTime(j.Route) * st.slowdownNow(now)
+		serviceTime := service.meanServiceTime(j.Route) * max(st.slowdownNow(now), timeFactor)
 		slots := float64(max(1, server.Slots))
 		c.ServiceTime = serviceTime
 		c.Wait = serviceTime * (max(0, float64(l.inFlight+1)-slots)/slots + float64(l.inFlight)/slots/2)
@@ -440,10 +445,10 @@
 }
 
 // interference returns the penalty for latency-sensitive streams that are delayed
-// by concurrent prefill: the job itself, or the streams in flight at the server
+// by concurrent prefill, at the rate in tokens per millisecond: the job itself, or the streams in flight at the server
 // that the job would delay.
-func interference(l load, latencySensitive bool, prefillTime float64, service *serviceState) float64 {
-	pending := float64(l.pendingPrefill) / service.prefillRate
+func interference(l load, latencySensitive bool, prefillTime, prefillRate float64) float64 {
+	pending := float64(l.pendingPrefill) / prefillRate
 	if latencySensitive {
 		return interferencePenalty * min(1, pending/interferingPrefillTime)
 	}
--- a/routing/server.go
+++ b/routing/server.go
@@ -74,6 +74,7 @@
 	// slowdown is as of slowdownAt, see slowdownNow.
 	slowdown   float64
 	slowdownAt time.Time
+	speed      serverSpeed
 }
 
 // cachedSegment is a segment expected in a server's KV cache, or the residual
