Give every unanswered request one reason, a metric and a log field

Cause: which requests got no answer, and why, could be read only from several kinds of last log lines, and no metric counted them.

Change: the type gateway.NoAnswer with one reason for each way in which a request ends without a complete successful response; the counter sesame_gateway_no_answer_total{reason}; the field no_answer in the last log line. A caller that left is no unanswered request, also when the gateway decided to refuse it meanwhile. Two paths that logged a wrong or a second last line are corrected: a deadline that passes between two reads of a stream was recorded as a caller that left, and a complete stream that its caller did not take was recorded as completed and as a caller that left.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -107,11 +107,11 @@
 		}
 		if result == resultCallerDisconnected {
 			s.metrics.callersDisconnected.Inc(1)
-			req.log.WithFields(logrus.Fields{"event": "caller_gone", "after_ms": s.sinceReceived(req).Milliseconds(), "sends": req.attempts}).Info("caller disconnected before the response was complete")
+			req.log.WithFields(logrus.Fields{"event": "caller_gone", "no_answer": NoAnswerCallerLeft, "after_ms": s.sinceReceived(req).Milliseconds(), "sends": req.attempts}).Info("caller disconnected before the response was complete")
 			return
 		}
 		if result == resultDeadlineExceeded {
-			s.finishUnsuccessful(req, fwd, "deadline")
+			s.finishUnsuccessful(req, fwd, reasonDeadline)
 			return
 		}
 		req.excluded[chosen.server.ID] = true
@@ -171,19 +171,19 @@
 	}
 	switch {
 	case last == resultMayHaveRun && !req.route.Idempotent() && !mutation.Off(GuardAtMostOnce):
-		return "outcome_unknown"
+		return reasonOutcomeUnknown
 	case fwd.started && !fwd.resumable():
-		return "not_resumable"
+		return reasonNotResumable
 	case last == resultMayHaveRun && req.runs >= max(1, req.route.MaxRuns):
-		return "attempts_used"
+		return reasonAttemptsUsed
 	case req.attempts >= maxAttempts:
-		return "refused_by_servers"
+		return reasonRefusedByServers
 	case !s.hasOtherServer(req):
-		return "no_other_server"
+		return reasonNoOtherServer
 	}
 	if !s.takeRetry(req, s.retryReserve(req, fwd)) {
 		s.metrics.retriesRefused.Inc(1)
-		return "retry_budget"
+		return reasonRetryBudget
 	}
 	s.metrics.retries.Inc(1)
 	return ""
@@ -429,7 +429,7 @@
 // the error as the cause.
 func (s *Server) failureResult(ctx context.Context, req *request, err error) (attemptResult, string) {
 	switch {
-	case !s.deps.Clock.Now().Before(req.deadline):
+	case !s.deps.Clock.Now().Before(req.deadline), errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return resultDeadlineExceeded, err.Error()
 	case ctx.Err() != nil:
 		return resultCallerDisconnected, err.Error()
@@ -466,11 +466,11 @@
 func (s *Server) finishUnsuccessful(req *request, fwd *responseForwarder, reason string) {
 	if fwd.started {
 		s.metrics.truncatedResponses.Inc(1)
-		req.log.WithFields(logrus.Fields{"event": "answer_cut", "reason": reason, "events": fwd.events(), "after_ms": s.sinceReceived(req).Milliseconds(), "sends": req.attempts, "runs": req.runs}).Info("response truncated")
+		req.log.WithFields(logrus.Fields{"event": "answer_cut", "reason": reason, "no_answer": s.recordNoAnswer(req, reason, false), "events": fwd.events(), "after_ms": s.sinceReceived(req).Milliseconds(), "sends": req.attempts, "runs": req.runs}).Info("response truncated")
 		return // ingress closes the connection of a response without an end
 	}
 	if fwd.failure != nil {
-		fwd.forwardFailure()
+		fwd.forwardFailure(reason)
 		return
 	}
 	switch {
@@ -480,7 +480,7 @@
 			delay = s.retryDelay(req)
 		}
 		s.refuse(req, newRefusal(http.StatusServiceUnavailable, reason).withRetryAfter(delay))
-	case reason == "deadline":
+	case reason == reasonDeadline:
 		s.refuse(req, newRefusal(http.StatusGatewayTimeout, reason))
 	default:
 		s.refuse(req, newRefusal(http.StatusBadGateway, reason))
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -198,8 +198,9 @@
 // onIngressRefusal records a request that ingress refused because its head or
 // body was malformed, too large or received too slowly.
 func (d *Daemon) onIngressRefusal(r ingress.Refusal) {
-	d.log.WithFields(logrus.Fields{"event": "request_refused", "status": r.Status, "reason": r.Reason}).Info("request refused by ingress: its head or body could not be read")
+	d.log.WithFields(logrus.Fields{"event": "request_refused", "status": r.Status, "reason": r.Reason, "no_answer": NoAnswerRefused}).Info("request refused by ingress: its head or body could not be read")
 	d.server.metrics.refused("", "unreadable")
+	d.server.metrics.unanswered(NoAnswerRefused)
 }
 
 // limits returns the active limits for callers.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -187,15 +187,20 @@
 	if retryable || !info.Authentic {
 		return resultMayHaveRun, nil
 	}
-	f.forwardFailure()
+	f.forwardFailure("")
 	return resultDelivered, nil
 }
 
-// forwardFailure sends the kept failure response as the final response.
-func (f *responseForwarder) forwardFailure() {
+// forwardFailure sends the kept failure response as the final response. reason is why there
+// is no further attempt; empty if one would not help.
+func (f *responseForwarder) forwardFailure(reason string) {
 	f.failureForwarded = true
 	f.status = f.failure.status
-	f.req.log.WithFields(logrus.Fields{"event": "answer_failed", "route": f.req.route.Name, "status": f.failure.status, "after_ms": f.server.sinceReceived(f.req).Milliseconds(), "sends": f.req.attempts}).Info("failure response of the backend server forwarded")
+	log := f.req.log
+	if reason != "" {
+		log = log.WithField("reason", reason)
+	}
+	log.WithFields(logrus.Fields{"event": "answer_failed", "no_answer": f.server.recordNoAnswer(f.req, reason, true), "route": f.req.route.Name, "status": f.failure.status, "after_ms": f.server.sinceReceived(f.req).Milliseconds(), "sends": f.req.attempts}).Info("failure response of the backend server forwarded")
 	f.server.metrics.failed(f.req.route.Name)
 	f.req.out.WriteResponse(f.failure.status, f.failure.header, f.failure.body)
 }
@@ -227,7 +232,8 @@
 			f.limitContinuation(active)
 			active.tracker.FirstEvent(f.server.deps.Clock.Now())
 		}
-		if !f.writeEvents(ex, complete, ended && valid && f.splitter.PendingBytes() == 0) {
+		last := ended && valid && f.splitter.PendingBytes() == 0
+		if !f.writeEvents(ex, complete, last) && !last { // a complete response that the caller did not take is recorded as such
 			return resultCallerDisconnected, errors.New("write to the caller failed")
 		}
 		switch {
@@ -240,7 +246,7 @@
 		case err != nil:
 			return resultMayHaveRun, err
 		case ctx.Err() != nil:
-			return resultCallerDisconnected, ctx.Err()
+			return resultMayHaveRun, ctx.Err() // failureResult tells the deadline from a caller that left
 		}
 	}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -25,10 +25,16 @@
 	quarantineChanges   gometrics.Counter
 	quarantineRefusals  gometrics.Counter
 	quarantined         gometrics.Gauge
+	noAnswers           map[NoAnswer]gometrics.Counter
 }
 
 func newGatewayMetrics(registry *telemetry.Metrics) *gatewayMetrics {
+	noAnswers := make(map[NoAnswer]gometrics.Counter, len(unansweredReasons))
+	for _, n := range unansweredReasons {
+		noAnswers[n] = registry.Counter("sesame_gateway_no_answer_total", "reason", string(n))
+	}
 	return &gatewayMetrics{
+		noAnswers:           noAnswers,
 		registry:            registry,
 		retries:             registry.Counter("sesame_gateway_repeats_total"),
 		retriesRefused:      registry.Counter("sesame_gateway_repeats_refused_total"),
@@ -51,6 +57,9 @@
 	m.registry.Counter("sesame_gateway_refused_total", "route", route, "reason", reason).Inc(1)
 }
 
+// unanswered counts a request that got no answer.
+func (m *gatewayMetrics) unanswered(reason NoAnswer) { m.noAnswers[reason].Inc(1) }
+
 func (m *gatewayMetrics) ignoredField(field string) {
 	m.registry.Counter("sesame_gateway_response_fields_ignored_total", "field", field).Inc(1)
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -197,9 +197,7 @@
 	received := s.deps.Clock.Now()
 	info, err := s.deps.Codec.DecodeRequest(in)
 	if err != nil {
-		s.deps.Log.WithError(err).WithField("event", "request_refused").Info("request refused: invalid request metadata")
-		s.metrics.refused("", "bad_request")
-		out.WriteResponse(http.StatusBadRequest, s.deps.Codec.RefusalHeader(&RequestInfo{}, 0), []byte(err.Error()+"\n"))
+		s.refuseUnreadable(&request{out: out, log: s.deps.Log}, err)
 		return
 	}
 	req := &request{RequestInfo: info, in: in, out: out, received: received, excluded: make(map[string]bool)}
@@ -384,7 +382,7 @@
 	fields := logrus.Fields{
 		"event": "request_refused", "status": r.status, "reason": r.reason, "sends": req.attempts, "runs": req.runs,
 		"view_age_ms": s.deps.View.Age().Milliseconds(), "after_ms": s.sinceReceived(req).Milliseconds(),
-		"retry_after_ms": r.retryAfter.Milliseconds(),
+		"retry_after_ms": r.retryAfter.Milliseconds(), "no_answer": s.recordNoAnswer(req, r.reason, false),
 	}
 	if req.table != nil {
 		fields["version"] = req.table.Version
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -48,6 +48,9 @@
 // truncated.
 func (w *ResponseWriter) Failed() bool { return w.failed }
 
+// CallerLeft reports whether the caller has closed the connection.
+func (w *ResponseWriter) CallerLeft() bool { return w.ctx.Err() != nil }
+
 // WriteHead buffers the head of the response. A negative length means that the
 // length is unknown; the body is then sent in chunks.
 func (w *ResponseWriter) WriteHead(status int, header http.Header, length int64) {
