Soak test with evacuated data centres and cold servers

The soak test could neither evacuate a data centre nor restart a server cold. Two checks: no request reaches a server of an evacuated data centre later than 2 s (and 0.5 s for recording) after the acknowledgement of the key, and no second brings a cold server more than cold_per_s x cold_excess + cold_extra requests from all gateways together. A late request is excused only if its gateway was impaired within 3 s before it and may never have known of the key, or the store was restored within 3 s before it. A cold server above its limit crashes.

Two checks of the checks over made-up histories cover each excuse. Streams that are taken up are compared with new ones only if two servers of their version are warm and in no evacuated data centre; without the option nothing changes.

--- a/make/soak.mk
+++ b/make/soak.mk
@@ -8,7 +8,7 @@
 
 soak: ## run SOAK_SEEDS seeds of real gateways with injected faults and check their histories
 	@$(GO) build -o $(BIN)/ ./cmd/sesame-gateway ./cmd/sesame-soak
-	@$(BIN)/sesame-soak --bin $(BIN) --seeds $(SOAK_SEEDS) --first-seed $(SOAK_FIRST) --parallel $(SOAK_PARALLEL)
+	@$(BIN)/sesame-soak --bin $(BIN) --evacuations --seeds $(SOAK_SEEDS) --first-seed $(SOAK_FIRST) --parallel $(SOAK_PARALLEL)
 
 soak-fresh: ## the same with new seeds, starting at the current Unix time
 	@$(MAKE) soak SOAK_FIRST=$$(date +%s)
--- a/soak/check.go
+++ b/soak/check.go
@@ -32,6 +32,8 @@
 	retryBudget           = "retries stay within the budget"
 	crashesContained      = "what has crashed several servers reaches at most three more"
 	soundRequestServed    = "a sound request is not refused because others crash servers"
+	evacuatedUnused       = "no request reaches a server of an evacuated data centre"
+	coldServerRate        = "a cold server receives no more requests than it takes"
 	processControl        = "processes start and stop as requested"
 )
 
@@ -46,13 +48,17 @@
 // receivedRequest is a request as a backend server received it. It counts as a run
 // unless it was refused.
 type receivedRequest struct {
-	server, service, account string
+	server, service, dataCentre, account string
+	// address is the address of the server, by which incarnations of the same ID differ.
+	address string
 	// drainingSince is when the server had started to drain, or zero if it had not.
 	receivedAt, drainingSince time.Time
 	// hasKey is true if the request still contained the caller's API key, which the
 	// gateway must remove. refused is true if the server refused the request without
 	// running it.
 	hasKey, refused bool
+	// misdirected is true if the request named another server.
+	misdirected bool
 	// statesLeaving is true if the response stated that the server is leaving.
 	statesLeaving bool
 	// statesLimit is true if the response stated a limit.
@@ -151,6 +157,8 @@
 	found = append(found, d.checkPauses()...)
 	found = append(found, d.checkLimits()...)
 	found = append(found, d.checkCrashes()...)
+	found = append(found, d.checkEvacuations()...)
+	found = append(found, d.checkCold()...)
 	h.keepLogs = len(found) > 0
 	if h.keepLogs {
 		// Not a violation; shows where the logs are.
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -67,7 +67,17 @@
 	// registryMu is held while a registry entry is written.
 	registryMu sync.Mutex
 
+	// evacuationMu is held while the key of an evacuated data centre is written or removed.
+	evacuationMu sync.Mutex
+
 	mu sync.Mutex
+	// evacuated contains the data centres whose key is in the store.
+	evacuated map[string]bool
+	// evacuations and coldPeriods list those that have ended, impairments the periods in
+	// which gateways may not have learned what is in the store.
+	evacuations []evacuation
+	coldPeriods []coldPeriod
+	impairments []impairment
 	// servers lists all backend servers, including those that have left.
 	servers []*server
 	// version is the latest configuration version.
@@ -101,7 +111,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "soak: create temporary directory")
 	}
-	d := &deployment{opts: o, dir: dir, store: standin.NewStore(), revokedAt: make(map[string]time.Time), startedAt: time.Now(), history: newObservations(), crashedAt: make(map[string][]time.Time)}
+	d := &deployment{opts: o, dir: dir, store: standin.NewStore(), revokedAt: make(map[string]time.Time), startedAt: time.Now(), history: newObservations(), crashedAt: make(map[string][]time.Time), evacuated: make(map[string]bool)}
 	contains := func(kind string) bool {
 		return slices.ContainsFunc(plan, func(f Fault) bool { return f.Kind == kind })
 	}
@@ -175,7 +185,7 @@
 	}
 	name := fmt.Sprintf("gateway-%d", i)
 	settings := fmt.Sprintf(`node_name = %q
-zone = "zone-a"
+zone = %q
 role = "gateway"
 ip = "127.0.0.1"
 seeds = [%s]
@@ -191,9 +201,9 @@
 retry_ratio = %g
 retry_extra = %d
 retry_window_s = 10
-[platform]
+%s[platform]
 addr = %q
-`, name, seedAddresses, a.front, a.ready, a.control, maxRevocationDelay.Milliseconds(), drainPeriod.Milliseconds(), retryRatio, d.opts.RetryExtra, link.Address())
+`, name, d.dataCentreOf(2*i), seedAddresses, a.front, a.ready, a.control, maxRevocationDelay.Milliseconds(), drainPeriod.Milliseconds(), retryRatio, d.opts.RetryExtra, d.coldBounds(), link.Address())
 	path := filepath.Join(d.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return eris.Wrap(err, "soak: write settings file")
@@ -247,7 +257,7 @@
 	for v := 1; v <= d.version; v++ {
 		routes += fmt.Sprintf(`{"name":"since-%d","host":"app.example","prefix":"/since-%d/","type":"safe","timeout_ms":4000,"goal_ms":300,"priority":2,"service":"app","attempts":2},`, v, v)
 	}
-	content := strings.Replace(string(standin.ConfigDocument(d.version, d.keys...)), `"routes":[`, `"routes":[`+routes, 1)
+	content := strings.Replace(string(standin.ConfigDocumentWithCold(d.version, d.coldLimits(), d.keys...)), `"routes":[`, `"routes":[`+routes, 1)
 	d.store.Put("op/config", []byte(content))
 }
 
@@ -262,12 +272,14 @@
 	d.mu.Lock()
 	servers := slices.Clone(d.servers)
 	d.mu.Unlock()
+	d.writeEvacuations()
 	for _, s := range servers {
 		d.register(s)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.disruptions = append(d.disruptions, disruption{from, time.Now()})
+	d.impairments = append(d.impairments, impairment{restore: true, from: from, to: time.Now()})
 }
 
 // revokeKey publishes a configuration version without one of the keys. It does
@@ -300,10 +312,12 @@
 	case PauseGateway:
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		d.disrupt(f, func() { g.Pause() }, func() { g.Resume() })
+		d.impair(g.Name, func() { d.disrupt(f, func() { g.Pause() }, func() { g.Resume() }) })
 	case StoreOutage:
 		outage := []standin.Outage{standin.ServiceUnavailable, standin.ConnectionReset, standin.NoResponse, standin.InvalidDocument, standin.SlowResponse}[f.Variant]
-		d.disrupt(f, func() { d.store.SetOutage(outage) }, func() { d.store.SetOutage(standin.NoOutage) })
+		d.impair("", func() {
+			d.disrupt(f, func() { d.store.SetOutage(outage) }, func() { d.store.SetOutage(standin.NoOutage) })
+		})
 	case StoreCompaction:
 		d.store.Compact()
 	case StoreRestore:
@@ -318,8 +332,12 @@
 		active.Store(false)
 	case StoreLinkFault:
 		linkState := []testbed.LinkState{testbed.LinkDown, testbed.LinkBlackhole, testbed.LinkDropsResponses, testbed.LinkDropsRequests, testbed.LinkDelayed}[f.Variant]
-		d.disrupt(f, func() { g.storeLink.SetState(linkState) }, func() { g.storeLink.SetState(testbed.LinkOpen) })
+		d.impair(g.Name, func() {
+			d.disrupt(f, func() { g.storeLink.SetState(linkState) }, func() { g.storeLink.SetState(testbed.LinkOpen) })
+		})
 	case CutFirstRuns, AllServersRefuse, GatewaysSeparated: // in effect from the start of the test
+	case EvacuateDataCentre:
+		d.evacuate(f)
 	case ConfigChange:
 		d.publish()
 	case KeyRevocation:
@@ -352,15 +370,17 @@
 func (d *deployment) restart(g *gatewayProcess, f Fault, end func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if f.For > 0 {
-		d.disrupt(f, end, func() {})
-	} else {
-		end()
-	}
-	d.mu.Lock()
-	g.incarnation++
-	d.mu.Unlock()
-	d.history.addFailure("starts", g.Start())
+	d.impair(g.Name, func() {
+		if f.For > 0 {
+			d.disrupt(f, end, func() {})
+		} else {
+			end()
+		}
+		d.mu.Lock()
+		g.incarnation++
+		d.mu.Unlock()
+		d.history.addFailure("starts", g.Start())
+	})
 }
 
 // awaitRecovery clears the fault of the store and waits until each gateway is ready
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -32,6 +32,14 @@
 	CrashingRequest  = "a request that comes again crashes backend servers"
 )
 
+// Kinds of faults that are drawn only with Options.Evacuations.
+const (
+	// EvacuateDataCentre: the key that evacuates a data centre is written and later removed.
+	EvacuateDataCentre = "data centre evacuated"
+	// ServerRestartsCold: a backend server crashes and restarts cold under the same ID.
+	ServerRestartsCold = "backend server restarts cold"
+)
+
 // Faults in effect for the entire test. They are not drawn at random.
 const (
 	// CutFirstRuns: each backend server cuts its answer to the first run of every
@@ -77,23 +85,36 @@
 // variantCount is the number of variants of a link fault or a store outage.
 const variantCount = 5
 
+// evacuationFaults is the number of faults that Options.Evacuations adds to a plan.
+const evacuationFaults = 4
+
 // DrawPlan returns the plan of a seed, ordered by time. Faults may overlap and may
-// affect the same target several times.
+// affect the same target several times. With Options.Evacuations, it has the same faults
+// as without and others.
 func DrawPlan(o Options, seed uint64) []Fault {
-	rng := rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // reproducible by design
-	faults := make([]Fault, 0, o.Faults)
-	for range o.Faults {
+	faults := drawFaults(o, rand.New(rand.NewPCG(seed, 1)), faultKinds, o.Faults) //nolint:gosec // reproducible by design
+	if o.Evacuations {
+		rng := rand.New(rand.NewPCG(seed, 2)) //nolint:gosec // reproducible by design
+		faults = append(faults, drawFaults(o, rng, []string{EvacuateDataCentre, ServerRestartsCold}, evacuationFaults)...)
+	}
+	slices.SortFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
+	if o.ServersRefuse {
+		faults = slices.Insert(faults, 0, Fault{Kind: AllServersRefuse})
+	}
+	return faults
+}
+
+// drawFaults returns n random faults of the given kinds.
+func drawFaults(o Options, rng *rand.Rand, kinds []string, n int) []Fault {
+	faults := make([]Fault, 0, n)
+	for range n {
 		faults = append(faults, Fault{
-			Kind:    faultKinds[rng.IntN(len(faultKinds))],
+			Kind:    kinds[rng.IntN(len(kinds))],
 			At:      time.Duration(rng.Int64N(int64(o.Duration * 3 / 4))),
 			For:     minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration))),
 			Target:  rng.IntN(max(o.Gateways, o.Servers)),
 			Variant: rng.IntN(variantCount),
 		})
 	}
-	slices.SortFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
-	if o.ServersRefuse {
-		faults = slices.Insert(faults, 0, Fault{Kind: AllServersRefuse})
-	}
 	return faults
 }
--- a/soak/server.go
+++ b/soak/server.go
@@ -43,8 +43,8 @@
 // server is a simulated backend server behind a link that faults can impair.
 type server struct {
 	*standin.Replica
-	service string
-	link    *testbed.Relay
+	service, dataCentre string
+	link                *testbed.Relay
 	// stop is closed when the server closes.
 	stop chan struct{}
 
@@ -59,6 +59,8 @@
 	left bool
 	// crashed reports whether it has crashed.
 	crashed bool
+	// superseded reports whether a restarted server with the same ID writes the entry.
+	superseded bool
 	// limit is the rate that its responses state, in requests per second; zero if none.
 	limit float64
 }
@@ -84,28 +86,39 @@
 // addServer starts a backend server of a service and registers it.
 func (d *deployment) addServer(service string) error {
 	d.mu.Lock()
-	id := fmt.Sprintf("%s-%d", service, len(d.servers))
+	n := len(d.servers)
 	d.mu.Unlock()
-	replica, err := standin.NewReplica(id)
+	_, err := d.startServer(&server{
+		Replica: &standin.Replica{ID: fmt.Sprintf("%s-%d", service, n), SoftwareVersion: softwareVersions[n%len(softwareVersions)]},
+		service: service, dataCentre: d.dataCentreOf(n),
+	}, 0)
+	return err
+}
+
+// startServer starts a backend server with the ID, version, service and data centre of the
+// template and registers it. It is cold for the given time.
+func (d *deployment) startServer(template *server, coldFor time.Duration) (*server, error) {
+	replica, err := standin.NewReplica(template.ID)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	d.mu.Lock()
-	replica.SoftwareVersion = softwareVersions[len(d.servers)%len(softwareVersions)]
-	d.mu.Unlock()
+	replica.SoftwareVersion = template.SoftwareVersion
 	link, err := testbed.NewRelay(replica.Address())
 	if err != nil {
 		replica.Close()
-		return err
+		return nil, err
+	}
+	s := &server{Replica: replica, service: template.service, dataCentre: template.dataCentre, link: link, stop: make(chan struct{})}
+	if coldFor > 0 {
+		d.startCold(s, coldFor, time.Time{})
 	}
-	s := &server{Replica: replica, service: service, link: link, stop: make(chan struct{})}
 	replica.SetScript(func(e *standin.Exchange) bool { return d.handleRequest(s, e) })
 	go s.discardReceived()
 	d.mu.Lock()
 	d.servers = append(d.servers, s)
 	d.mu.Unlock()
 	d.register(s)
-	return nil
+	return s, nil
 }
 
 // registeredState returns the state in the registry entry of the server; empty if the
@@ -128,12 +141,18 @@
 func (d *deployment) register(s *server) {
 	d.registryMu.Lock()
 	defer d.registryMu.Unlock()
+	s.mu.Lock()
+	superseded := s.superseded
+	s.mu.Unlock()
+	if superseded {
+		return
+	}
 	state := s.registeredState()
 	if state == "" {
 		d.store.Remove("servers/" + s.ID)
 		return
 	}
-	entry := strings.Replace(string(s.RegistryEntry(s.service, "zone-a", state)), s.Address(), s.link.Address(), 1)
+	entry := strings.Replace(string(s.RegistryEntry(s.service, s.dataCentre, state)), s.Address(), s.link.Address(), 1)
 	d.store.Put("servers/"+s.ID, []byte(entry))
 }
 
@@ -183,6 +202,8 @@
 		d.drainServer(s)
 	case ServerLeaves:
 		d.leave(s, f.Variant%2 == 0)
+	case ServerRestartsCold:
+		d.restartCold(s, f)
 	case ServerLimits:
 		d.limitRate(s, limitRates[f.Variant], f.For+limitHold)
 	case ServerAsksLate: // interrupts no response
@@ -274,7 +295,7 @@
 		activeFault = ServerRefuses
 	}
 	r := receivedRequest{
-		server: s.ID, service: s.service, receivedAt: time.Now(), drainingSince: drainingSince, account: e.Tenant(), hasKey: e.HasKey(),
+		server: s.ID, service: s.service, dataCentre: s.dataCentre, address: s.Address(), misdirected: e.ExpectedReplica() != s.ID, receivedAt: time.Now(), drainingSince: drainingSince, account: e.Tenant(), hasKey: e.HasKey(),
 		refused: activeFault == ServerRefuses || e.ExpectedReplica() != s.ID, statesLeaving: e.HeaderLine(headerLeaving) != "", statesLimit: e.HeaderLine(headerLimit) != "",
 	}
 	r.askedAt = r.receivedAt
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,6 +34,9 @@
 	// ServersRefuse adds AllServersRefuse to each random plan, so that the retry budget
 	// is used up.
 	ServersRefuse bool
+	// Evacuations adds EvacuateDataCentre and ServerRestartsCold to each random plan. The
+	// servers and gateways are in two data centres, and servers may be cold.
+	Evacuations bool
 	// Plan, if not nil, replaces the plan that the seed determines.
 	Plan []Fault
 	// Environment is added to the environment of the gateways.
--- a/soak/version.go
+++ b/soak/version.go
@@ -48,14 +48,14 @@
 	return "", false
 }
 
-// readyServers returns the number of servers of the service and version that are listed as
-// ready.
+// readyServers returns the number of warm servers of the service and version that are
+// listed as ready in data centres that are not evacuated.
 func (d *deployment) readyServers(service, version string) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n := 0
 	for _, s := range d.servers {
-		if s.service == service && s.SoftwareVersion == version && s.registeredState() == "ready" {
+		if s.service == service && s.SoftwareVersion == version && s.registeredState() == "ready" && !d.evacuated[s.dataCentre] && s.ColdLeft() == 0 {
 			n++
 		}
 	}
