Test that real gateways send nothing to evacuated data centres

The plans of the soak test evacuate one and all data centres, alone and while a gateway is killed or paused, or the store fails or is restored from an older copy.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -195,6 +195,33 @@
 	}
 }
 
+// TestEvacuatedDataCentreGetsRequestsOfRealGateways guards against gateways that go on sending
+// requests to a data centre under evacuation, while gateways are killed and paused and the store
+// fails.
+func TestEvacuatedDataCentreGetsRequestsOfRealGateways(t *testing.T) {
+	o := soak.DefaultOptions()
+	o.Bin, o.Evacuations, o.Duration = buildGateway(t), true, 10*time.Second
+	second := time.Second
+	evacuated := soak.Fault{Kind: soak.EvacuateDataCentre, At: second, For: 3 * second, Variant: 1}
+	other := evacuated
+	other.Target = 1
+	for name, plan := range map[string][]soak.Fault{
+		"alone":                  {evacuated},
+		"all":                    {evacuated, other},
+		"with-gateway-restarted": {evacuated, {Kind: soak.KillGateway, At: 4 * second, For: second / 2, Target: 1}},
+		"with-gateway-paused":    {evacuated, {Kind: soak.PauseGateway, At: 2 * second, For: second, Target: 1}},
+		"with-store-down":        {evacuated, {Kind: soak.StoreOutage, At: 4 * second, For: 2 * second}},
+		"with-store-restored":    {evacuated, {Kind: soak.StoreRestore, At: 0, For: 2 * second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := o
+			o.Plan = plan
+			requirePass(t, soak.RunSeed(o, 1))
+		})
+	}
+}
+
 // TestRandomPlansPass runs the plans of a few seeds, which must violate no
 // guarantee.
 func TestRandomPlansPass(t *testing.T) {
