Limit what cold servers receive from all gateways together, and lend unused tokens

A cold server crashes well above its rate, and many gateways choose an idle server at the same time. limit.Servers gets a second kind of limit: a token bucket over any second whose parts belong to a few gateways, the holders, and tokens that holders lend.

go test ./limit

--- a/limit/server.go
+++ b/limit/server.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/retry"
@@ -53,6 +54,10 @@
 	// Position is the position of this gateway, from 0, in an order of the gateways that
 	// is the same for all of them.
 	Position int
+	// Starting reports whether this gateway has started so recently that it may not know
+	// all other gateways, and that tokens which it took before a restart may still be in
+	// use. It then has no part of the rate of a cold server.
+	Starting bool
 }
 
 // Allowance tells when a gateway may send the next request to a server.
@@ -78,7 +83,9 @@
 }
 
 // Servers holds the rates to which backend servers limit all gateways together, and
-// this gateway's share of them. It is safe for concurrent use.
+// this gateway's share of them. It also limits what cold servers receive: those that have
+// started, or were without traffic, and would crash under a normal load. It is safe for
+// concurrent use.
 //
 // Callers may assume this bound while all gateways that know a limit of r requests per
 // second agree on their number and order, and the limit does not change: together they
@@ -91,11 +98,23 @@
 //
 // Only some gateways, the holders, use a limit: if each of many gateways could send a
 // single request at any time, they could send all of these at once.
+//
+// Callers may assume that a server which all gateways that know it regard as cold is allowed at
+// most Rate*Excess + Extra requests in any second (ColdBound), as long as these gateways
+// agree on their order and Share.Starting is set for at least lendValid and a second after
+// a start, whatever is lost, delayed or partitioned between them. Holders that do not use
+// their tokens lend them to gateways that ask. A lost message leaves a token unused.
 type Servers struct {
 	mu      sync.Mutex
 	servers map[retry.Incarnation]*serverLimit
 	// limited is the number of servers with a limit.
 	limited int
+	// cold holds the cold servers; coldCount is the number of those whose limit has not
+	// been found to be over.
+	cold      map[retry.Incarnation]*coldServer
+	coldCount atomic.Int64
+	// expiredTokens counts borrowed tokens that were not used in time.
+	expiredTokens int
 }
 
 // serverLimit is what is known of the limit of one server.
@@ -118,7 +137,9 @@
 }
 
 // NewServers returns a Servers without limits.
-func NewServers() *Servers { return &Servers{servers: make(map[retry.Incarnation]*serverLimit)} }
+func NewServers() *Servers {
+	return &Servers{servers: make(map[retry.Incarnation]*serverLimit), cold: make(map[retry.Incarnation]*coldServer)}
+}
 
 // Stated records that a response stated a limit, in requests per second. It returns
 // the limit in effect, and whether it has changed.
@@ -228,23 +249,52 @@
 	return l.end(s)
 }
 
-// Any reports whether some server has a limit.
-func (l *Servers) Any() bool {
+// Any reports whether some server has a limit or is cold.
+func (l *Servers) Any() bool { return l.AnyCold() || l.AnyStated() }
+
+// AnyStated reports whether some server has a limit that it states.
+func (l *Servers) AnyStated() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.limited > 0
 }
 
-// Limited reports whether a server has a limit.
-func (l *Servers) Limited(server retry.Incarnation) bool {
+// Limited reports whether a server has a limit or is cold.
+func (l *Servers) Limited(now time.Time, server retry.Incarnation) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.servers[server]
-	return s != nil && s.rate > 0
+	return s != nil && s.rate > 0 || l.coldLimit(now, server) != nil
 }
 
 // Next returns when this gateway may send the next request to a server.
 func (l *Servers) Next(now time.Time, server retry.Incarnation, share Share) Allowance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var a Allowance
+	if s := l.servers[server]; s != nil && s.rate > 0 {
+		a = s.next(now, share)
+	}
+	c := l.coldLimit(now, server)
+	if c == nil {
+		return a
+	}
+	cold := l.nextCold(now, c, share)
+	if !a.Limited {
+		return cold
+	}
+	if cold.At.After(a.At) {
+		a.At = cold.At
+	}
+	if cold.ReturnAt.After(a.ReturnAt) {
+		a.ReturnAt = cold.ReturnAt
+	}
+	a.Interval = max(a.Interval, cold.Interval)
+	return a
+}
+
+// NextStated returns the same as Next, but without the limit of cold servers.
+func (l *Servers) NextStated(now time.Time, server retry.Incarnation, share Share) Allowance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.servers[server]
@@ -259,17 +309,20 @@
 func (l *Servers) Take(now time.Time, server retry.Incarnation, share Share) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.servers[server]
-	if s == nil || s.rate == 0 {
-		return true
-	}
-	if s.next(now, share).At.After(now) {
+	s, c := l.servers[server], l.coldLimit(now, server)
+	stated := s != nil && s.rate > 0
+	if stated && s.next(now, share).At.After(now) || c != nil && !l.mayTake(now, c, share) {
 		return false
 	}
-	if holders, _ := divide(s.rate, share.Gateways); share.Position < holders {
-		s.tokens--
+	if c != nil {
+		c.take(now)
+	}
+	if stated {
+		if holders, _ := divide(s.rate, share.Gateways); share.Position < holders {
+			s.tokens--
+		}
+		s.heardAt = now // a further request of this gateway would tell nothing more
 	}
-	s.heardAt = now // a further request of this gateway would tell nothing more
 	return true
 }
 
--- a/make/prove.mk
+++ b/make/prove.mk
@@ -13,7 +13,7 @@
 	@$(BIN)/sesame-prove --seeds $(SEEDS) --first-seed $(FIRST_SEED) --parallel $(PROVE_PARALLEL) --bin $(BIN)
 
 mutation: build ## disable one guard at a time and require that a checker finds a violation
-	@$(GO) test -count=1 -tags sesame_mutation -run Mutation -v ./idempotency/...
+	@$(GO) test -count=1 -tags sesame_mutation -run Mutation -v ./idempotency/... ./limit/...
 	@mkdir -p $(MUTATION_BIN)
 	@$(GO) build -o $(BIN)/sesame-prove ./cmd/sesame-prove
 	@for c in sesame-entry sesame-agent sesame-standin; do $(GO) build -tags sesame_mutation -o $(MUTATION_BIN)/$$c ./cmd/$$c || exit 1; done
