Choose cold servers only with a token, and ask other gateways for tokens

Gateways see a cold server idle and choose it at the same time. The choice now leaves out a cold server without a token, admitSend takes the token right before the request is written, and requests are held, then refused, if all servers are cold. Peers carry the questions and answers. Nothing changes for services without a cold rate.

go test -race ./gateway ./limit

--- a/gateway/admitsend.go
+++ b/gateway/admitsend.go
@@ -5,6 +5,7 @@
 	withheldServerGone = "server_unusable"
 	withheldPaused     = "server_paused"
 	withheldLimited    = "server_limited"
+	withheldCold       = "server_cold"
 	withheldQuarantine = reasonQuarantined
 )
 
@@ -13,6 +14,7 @@
 // stated a limit or left, or other requests may have reached its limit or crashed servers.
 func (s *Server) admitSend(req *request, active *activeAttempt) bool {
 	now, incarnation := s.deps.Clock.Now(), incarnationOf(active.server)
+	s.refreshCold(req.service, s.usable(req))
 	switch {
 	case s.decideQuarantine(req).Blocked:
 		active.withheld = withheldQuarantine
@@ -20,8 +22,11 @@
 		active.withheld = withheldServerGone
 	case s.paused(active.server):
 		active.withheld = withheldPaused
-	case s.limits.Limited(incarnation) && !s.limits.Take(now, incarnation, s.limitShare(active.server)):
+	case s.limits.Limited(now, incarnation) && !s.takeToken(now, incarnation):
 		active.withheld = withheldLimited
+		if !s.reachedStatedLimit(now, active.server) {
+			active.withheld = withheldCold
+		}
 	default:
 		active.writtenAt = now
 		s.useRetry(req)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -71,6 +71,8 @@
 	// transferSource is the address of the server whose KV cache is copied;
 	// empty if none is.
 	transferSource string
+	// awaitsToken reports whether all servers are cold and there is no token for any.
+	awaitsToken bool
 }
 
 // serve makes attempts, one at a time, until the final response is sent or the
@@ -89,7 +91,11 @@
 			s.finishUnsuccessful(req, fwd, s.reasonWithoutServer(req))
 			return
 		}
-		switch d := s.gate(req, fwd, chosen); d.Action {
+		d := s.gate(req, fwd, chosen)
+		if chosen.awaitsToken {
+			d = s.holdForToken(req, fwd, chosen)
+		}
+		switch d.Action {
 		case admission.GateHold:
 			if clock.Sleep(ctx, d.Delay) {
 				continue
@@ -97,6 +103,10 @@
 			// The context has ended: the attempt fails immediately, and its result shows
 			// whether the caller disconnected or the deadline passed.
 		case admission.GateRefuse:
+			if chosen.awaitsToken {
+				s.finishUnsuccessful(req, fwd, "servers_cold")
+				return
+			}
 			s.refuseForCapacity(req, chosen, d.Delay)
 			return
 		case admission.GateSend:
@@ -114,6 +124,9 @@
 			s.finishUnsuccessful(req, fwd, "deadline")
 			return
 		}
+		if result == resultWithheld && req.lostToken() {
+			continue
+		}
 		req.excluded[chosen.server.ID] = true
 		if reason := s.refuseRetry(req, fwd, result); reason != "" {
 			s.finishUnsuccessful(req, fwd, reason)
@@ -135,6 +148,37 @@
 	})
 }
 
+// holdForToken decides whether a request for which all servers are cold and without a token
+// is held, in the same way as for a full server, or refused. A request that may have run is
+// held until its deadline.
+func (s *Server) holdForToken(req *request, fwd *responseForwarder, chosen chosenServer) admission.GateDecision {
+	now := s.deps.Clock.Now()
+	wait, remaining := s.allowance(now, chosen.server).At.Sub(now), req.deadline.Sub(now)
+	if fwd.started || req.runs > 0 {
+		return admission.GateDecision{Action: admission.GateHold, Delay: coldHoldInterval}
+	}
+	d := admission.Gate{}.Decide(admission.GateRequest{
+		Full: true, Waited: s.sinceReceived(req), Remaining: remaining, LatencyTarget: req.route.LatencyTarget, ExpectedWait: wait, FleetWait: remaining, Random: s.random(),
+	})
+	if d.Action == admission.GateSend { // the gate would now send it to a full server
+		d.Action = admission.GateRefuse
+	}
+	return d
+}
+
+// coldHoldInterval is the time between two checks of a held request that may have run.
+const coldHoldInterval = 20 * time.Millisecond
+
+// lostToken reports whether another request took the token for which the last attempt was
+// chosen, so that the server may be chosen again.
+func (req *request) lostToken() bool {
+	if req.withheld != withheldCold {
+		return false
+	}
+	req.coldWithheld++
+	return req.coldWithheld <= maxColdWithheld
+}
+
 // refuseForCapacity refuses a request for which no engine has capacity.
 func (s *Server) refuseForCapacity(req *request, chosen chosenServer, retryAfter time.Duration) {
 	s.metrics.noCapacity.Inc(1)
@@ -281,6 +325,7 @@
 	if !active.writtenAt.IsZero() {
 		fields["written_ms"] = active.writtenAt.Sub(sentAt).Milliseconds()
 	}
+	req.withheld = active.withheld
 	if active.withheld != "" {
 		fields["reason"] = active.withheld
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -12,11 +12,22 @@
 	if len(usable) == 0 {
 		return chosenServer{}, false
 	}
-	choice, ok := s.deps.Scheduler.Choose(s.deps.Clock.Now(), &req.job, s.candidates(req.service.Name, usable), s.excluded(req, usable))
+	s.refreshCold(req.service, usable)
+	candidates, excluded := s.candidates(req.service.Name, usable), s.excluded(req, usable)
+	choice, ok := s.deps.Scheduler.Choose(s.deps.Clock.Now(), &req.job, candidates, excluded)
 	if !ok {
 		return chosenServer{}, false
 	}
-	chosen := chosenServer{server: usable[choice.Index], choice: choice}
+	awaitsToken := false
+	if s.limits.AnyCold() && s.awaitsToken(usable[choice.Index]) {
+		// A cold server for which there is no token is left to other requests. If there is
+		// no other server, the request waits for one.
+		other, found := s.deps.Scheduler.Choose(s.deps.Clock.Now(), &req.job, candidates, s.withoutToken(excluded, usable))
+		if awaitsToken = !found; found {
+			choice = other
+		}
+	}
+	chosen := chosenServer{server: usable[choice.Index], choice: choice, awaitsToken: awaitsToken}
 	if choice.TransferSource == "" {
 		return chosen, true
 	}
@@ -28,6 +39,14 @@
 	return chosen, true
 }
 
+// usable returns the usable backend servers for a request; nil if its service is not known.
+func (s *Server) usable(req *request) []*directory.BackendServer {
+	if req.service == nil || req.service.ColdRate <= 0 {
+		return nil
+	}
+	return s.deps.Directory.Usable(req.service.Name)
+}
+
 // candidateList is a list of usable backend servers as the scheduler sees it.
 type candidateList struct {
 	usable  []*directory.BackendServer
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -152,10 +152,10 @@
 		sharingGateways.Update(int64(sharing))
 	}
 	d.server = NewServer(Dependencies{
-		Codec: p.Codec, View: d.view, Directory: d.directory, Scheduler: scheduler, Pool: d.pool, Gateways: d.peers, Origins: d.peers,
+		Codec: p.Codec, View: d.view, Directory: d.directory, Scheduler: scheduler, Pool: d.pool, Gateways: d.peers, Origins: d.peers, Tokens: d.peers,
 		Clock: monotonic, Elapsed: elapsed, Metrics: d.metrics, Log: d.log, Settings: d.settings.Load, Seed: o.Seed,
 	})
-	d.peers.Limits, d.peers.Crashes, d.peers.Origins, d.peers.Evacuations = d.server, d.server, d.server, d.view
+	d.peers.Limits, d.peers.Crashes, d.peers.Origins, d.peers.Evacuations, d.peers.Tokens = d.server, d.server, d.server, d.view, d.server
 	d.ingress = ingress.New(ingress.Config{
 		Handle: d.handle, Limits: d.limits, CloseAfterResponse: d.closeAfterResponse, OnRefusal: d.onIngressRefusal,
 	})
@@ -285,7 +285,7 @@
 // startBackgroundTasks starts the goroutines that run until the context ends.
 func (d *Daemon) startBackgroundTasks(ctx context.Context, group *errgroup.Group) {
 	for _, task := range []func(context.Context){
-		d.view.Run, d.view.Sweep, d.peers.Run, d.sweepPool, d.pollSettings, d.checkPauses,
+		d.view.Run, d.view.Sweep, d.peers.Run, d.sweepPool, d.pollSettings, d.checkPauses, d.runColdSweep,
 	} {
 		group.Go(func() error {
 			task(ctx)
--- a/gateway/doubt.go
+++ b/gateway/doubt.go
@@ -63,6 +63,7 @@
 func (s *Server) doubt(server quarantine.ServerID, at time.Time, peer string) {
 	now := s.deps.Elapsed()
 	if s.doubts.add(now, now-s.deps.Clock.Now().Sub(at), server) {
+		s.cold.changes.Add(1)
 		id, startedAtMs, _ := strings.Cut(string(server), "@")
 		s.deps.Log.WithFields(logrus.Fields{"event": "backend_doubted", "server": id, "started_at_ms": startedAtMs, "peer": peer}).Info("backend server refused connections; no stream goes on there until its entry is written again")
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -25,6 +25,11 @@
 	quarantineChanges   gometrics.Counter
 	quarantineRefusals  gometrics.Counter
 	quarantined         gometrics.Gauge
+	coldServers         gometrics.Gauge
+	tokensAsked         gometrics.Counter
+	tokensLent          gometrics.Counter
+	tokensBorrowed      gometrics.Counter
+	tokensExpired       gometrics.Counter
 }
 
 func newGatewayMetrics(registry *telemetry.Metrics) *gatewayMetrics {
@@ -43,6 +48,11 @@
 		quarantineChanges:   registry.Counter("sesame_gateway_quarantine_changes_total"),
 		quarantineRefusals:  registry.Counter("sesame_gateway_quarantine_refusals_total"),
 		quarantined:         registry.Gauge("sesame_gateway_quarantined_traits"),
+		coldServers:         registry.Gauge("sesame_gateway_cold_servers"),
+		tokensAsked:         registry.Counter("sesame_gateway_cold_tokens_asked_total"),
+		tokensLent:          registry.Counter("sesame_gateway_cold_tokens_lent_total"),
+		tokensBorrowed:      registry.Counter("sesame_gateway_cold_tokens_borrowed_total"),
+		tokensExpired:       registry.Counter("sesame_gateway_cold_tokens_expired_total"),
 		truncatedResponses:  registry.Counter("sesame_gateway_answers_cut_total"),
 	}
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -180,6 +180,8 @@
 	// are evacuated.
 	Origins     OriginExchange
 	Evacuations EvacuationExchange
+	// Tokens, if set before Run, lends and borrows tokens of cold servers.
+	Tokens TokenExchange
 	// conn is nil until Run listens.
 	conn atomic.Pointer[net.UDPConn]
 }
@@ -451,6 +453,7 @@
 		}
 		p.handleMessage(message)
 		p.applyOriginEntries(conn, p.clock.Now(), message)
+		p.applyTokenEntries(conn, message)
 		p.relay(conn, message)
 	}
 }
--- a/gateway/pushback.go
+++ b/gateway/pushback.go
@@ -39,13 +39,13 @@
 // and those at which its stream may not go on.
 func (s *Server) excluded(req *request, usable []*directory.BackendServer) map[string]bool {
 	now := s.deps.Clock.Now()
-	pauses, limits := s.pushback.Any(now), s.limits.Any()
+	pauses, limits := s.pushback.Any(now), s.limits.AnyStated()
 	if !pauses && !limits && req.continuation == nil {
 		return req.excluded
 	}
 	excluded := maps.Clone(req.excluded)
 	for _, b := range usable {
-		if !s.mayUse(req, b) || pauses && s.paused(b) || limits && s.allowance(now, b).At.After(now) {
+		if !s.mayUse(req, b) || pauses && s.paused(b) || limits && s.reachedStatedLimit(now, b) {
 			excluded[b.ID] = true
 		}
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -69,7 +69,9 @@
 	Gateways  SharingCounter
 	// Origins asks other gateways where streams began; nil if there are none.
 	Origins OriginAsker
-	Clock   clock.Clock
+	// Tokens asks other gateways for tokens of cold servers; nil if there are none.
+	Tokens TokenAsker
+	Clock  clock.Clock
 	// Elapsed also advances while the VM is suspended.
 	Elapsed clock.Elapsed
 	Metrics *telemetry.Metrics
@@ -109,19 +111,23 @@
 	inquiries *inquiries
 	// doubts holds the servers of which it is not known what listens at their address.
 	doubts *doubts
+	// cold holds what is known of cold servers.
+	cold coldWatch
 	// candidateLists holds the last list of candidates of each service.
 	candidateLists map[string]candidateList
 }
 
 // NewServer returns a server.
 func NewServer(deps Dependencies) *Server {
-	return &Server{
+	s := &Server{
 		deps: deps, metrics: newGatewayMetrics(deps.Metrics), startedAt: deps.Clock.Now(), pauses: clock.NewPauses(deps.Elapsed),
 		rng:          rand.New(rand.NewPCG(deps.Seed, 3)), //nolint:gosec // not for secrets
 		retryBudgets: make(map[string]*retry.WindowBudget), candidateLists: make(map[string]candidateList),
 		pushback: retry.NewPushback(), returns: make(map[string]*retry.Returns), limits: limit.NewServers(),
 		crashes: newCrashWatch(), quarantine: quarantine.New(), origins: origin.NewRegister(), inquiries: newInquiries(), doubts: newDoubts(),
 	}
+	s.cold.init()
+	return s
 }
 
 // retryBudget returns the retry budget of a service. Its window is longer than the
@@ -188,7 +194,11 @@
 	// attempts counts the attempts that reached a backend server, runs those of
 	// them that the backend server may have run.
 	attempts, runs int
-	log            *logrus.Entry
+	// withheld is why the last attempt was not sent; empty if it was. coldWithheld counts
+	// the attempts that found no token of a cold server any more.
+	withheld     string
+	coldWithheld int
+	log          *logrus.Entry
 }
 
 // Handle serves one request until its final response is sent or the caller
--- a/gateway/serverlimit.go
+++ b/gateway/serverlimit.go
@@ -11,19 +11,26 @@
 )
 
 // limitShare returns this gateway's share of the limit of a backend server.
-func (s *Server) limitShare(b *directory.BackendServer) limit.Share {
-	position, gateways := s.deps.Gateways.Position(b.ID)
-	return limit.Share{Gateways: gateways, Position: position}
+func (s *Server) limitShare(server retry.Incarnation) limit.Share {
+	position, gateways := s.deps.Gateways.Position(server.ID)
+	return limit.Share{Gateways: gateways, Position: position, Starting: s.deps.Clock.Now().Sub(s.startedAt) < coldStarting}
 }
 
 // allowance returns when this gateway may send the next request to a backend server.
 func (s *Server) allowance(now time.Time, b *directory.BackendServer) limit.Allowance {
-	if incarnation := incarnationOf(b); s.limits.Limited(incarnation) {
-		return s.limits.Next(now, incarnation, s.limitShare(b))
+	if incarnation := incarnationOf(b); s.limits.Limited(now, incarnation) {
+		return s.limits.Next(now, incarnation, s.limitShare(incarnation))
 	}
 	return limit.Allowance{}
 }
 
+// reachedStatedLimit reports whether the limit that a backend server states allows no request
+// of this gateway now.
+func (s *Server) reachedStatedLimit(now time.Time, b *directory.BackendServer) bool {
+	incarnation := incarnationOf(b)
+	return s.limits.NextStated(now, incarnation, s.limitShare(incarnation)).At.After(now)
+}
+
 // recordLimit records whether the response to an attempt states a limit of the backend
 // server. A response of unknown origin, or with an invalid limit, says nothing.
 func (s *Server) recordLimit(active *activeAttempt, info ResponseInfo) {
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -37,5 +37,6 @@
 		active.askedPause = info.Pause
 		s.recordPause(server, info.Pause)
 	}
+	s.recordCold(server, info.ColdFor)
 	s.recordLimit(active, info)
 }
