Notice a server that becomes cold again in the same incarnation

Cause: the gateway brings the limits of cold servers up to date when the list of usable servers is another one; a renewal that only changes cold_left_ms leaves the list as it is. Change: the directory counts changes of how long servers stay cold, within 300 ms of tolerance for renewals. Result: TestColdFor fails without the count.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -137,6 +137,8 @@
 	versions versionHistory
 	// evacuations holds the data centres that are, or were, evacuated.
 	evacuations map[string]*evacuationState
+	// coldChanges counts the changes of how long servers stay cold.
+	coldChanges uint64
 }
 
 // New returns an empty directory.
@@ -280,7 +282,7 @@
 	d.versions.ended(now, r.server)
 	r.server = c.Server
 	if c.Server != nil {
-		r.coldUntil = now.Add(c.Server.ColdFor)
+		d.recordCold(now, r, c.Server)
 		stillDraining := r.draining && r.drainingStartedAtMs == c.Server.StartedAtMs
 		if stillDraining && !c.Server.Draining {
 			draining := *c.Server
--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -123,6 +123,7 @@
 		events = append(events, EvacuationEvent{Evacuation: c, Servers: d.serversIn(c.DataCentre)})
 	}
 	if events != nil {
+		d.coldChanges++
 		d.rebuildIndex()
 	}
 	return events
@@ -158,6 +159,32 @@
 	return false
 }
 
+// coldTolerance is the change of the time until which a server is cold that counts as none:
+// entries are read some time after they were written.
+const coldTolerance = 300 * time.Millisecond
+
+// recordCold records until when a server is cold according to a new version of its entry. The
+// caller holds mu.
+func (d *Directory) recordCold(now time.Time, r *record, s *BackendServer) {
+	until := now.Add(s.ColdFor)
+	wasCold := r.coldUntil.After(now) || r.server != nil && r.server.StartedAtMs != s.StartedAtMs
+	if s.ColdFor > 0 && until.Sub(r.coldUntil).Abs() > coldTolerance || s.ColdFor == 0 && wasCold {
+		d.coldChanges++
+	}
+	if state := d.evacuations[s.DataCentre]; state != nil && !state.endedAt.IsZero() {
+		d.coldChanges++ // the entry may be the first one after the evacuation
+	}
+	r.coldUntil = until
+}
+
+// ColdChanges returns a number that changes whenever ColdFor may return something else than a
+// time that has become shorter since.
+func (d *Directory) ColdChanges() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.coldChanges
+}
+
 // ColdFor returns for how long the incarnation of a backend server is expected to stay cold.
 // A server whose data centre was evacuated may have become cold before the end of the
 // evacuation: it counts as cold for coldTime from the end, until it writes its entry again.
--- a/directory/evacuation_test.go
+++ b/directory/evacuation_test.go
@@ -96,6 +96,13 @@
 	check("after an evacuation", 9*time.Second, 2*time.Second)
 	d.Apply(epoch.Add(10*time.Second), []Change{entryIn("dc-a", "a", 10)}, 10)
 	check("entry written after the evacuation", 10*time.Second, 0)
+	before := d.ColdChanges()
+	cold.Revision = 11
+	d.Apply(epoch.Add(11*time.Second), []Change{cold}, 11)
+	check("cold again in the same incarnation", 11*time.Second, 2*time.Second)
+	if d.ColdChanges() == before {
+		t.Error("no change is shown of a server that is cold again")
+	}
 	other := *cold.Server
 	other.StartedAtMs = 99
 	if got := d.ColdFor(epoch, &other, coldTime); got != 0 {
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -50,7 +50,9 @@
 type coldSeen struct {
 	list    **directory.BackendServer
 	servers int
-	changes int64
+	// changes counts what responses and doubts have changed, directory what entries have.
+	changes   int64
+	directory uint64
 	bound   limit.ColdBound
 }
 
@@ -80,15 +82,14 @@
 }
 
 // refreshCold brings the limits of the cold servers of a service up to date, if something
-// has changed: the directory returns another list after each change of an entry and at the
-// end of an evacuation.
+// has changed.
 func (s *Server) refreshCold(service *routes.Service, usable []*directory.BackendServer) {
 	if service == nil || service.ColdRate <= 0 || len(usable) == 0 {
 		return
 	}
 	bounds := s.deps.Settings().Bounds
 	seen := coldSeen{
-		list: &usable[0], servers: len(usable), changes: s.cold.changes.Load(),
+		list: &usable[0], servers: len(usable), changes: s.cold.changes.Load(), directory: s.deps.Directory.ColdChanges(),
 		bound: limit.ColdBound{Rate: service.ColdRate, Excess: bounds.ColdExcess, Extra: bounds.ColdExtra},
 	}
 	s.cold.mu.Lock()
