--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -53,7 +53,7 @@
 	// changes counts what responses and doubts have changed, directory what entries have.
 	changes   int64
 	directory uint64
-	bound   limit.ColdBound
+	bound     limit.ColdBound
 }
 
 func (w *coldWatch) init() {
