Show which gateways send requests to an evacuated data centre

For each gateway it prints the requests, the last of them, since when it knew of the evacuation, and why late ones were sent: not known yet, begun before, resumed stream, retry, new request. It exits with 1 if a gateway that knew sent one. explain shows the evacuations that the gateways knew.

go test -race ./decisionlog ./ctl ./cmd/sesamectl: passed, with golden files for text and JSON.

--- a/cmd/sesamectl/main_test.go
+++ b/cmd/sesamectl/main_test.go
@@ -78,6 +78,10 @@
 		{"charts_json", []string{"charts", "configuration", "--output=json"}, 0},
 		{"charts_unknown", []string{"charts", "nothing"}, 2},
 		{"schema", []string{"schema"}, 0},
+		{"placement", []string{"placement", "--data-centre", "lis-2", "testdata/placement-1.log", "testdata/placement-2.log"}, 1},
+		{"placement_json", []string{"placement", "--data-centre", "lis-2", "--most=2", "-o", "json", "testdata/placement-1.log", "testdata/placement-2.log"}, 1},
+		{"placement_not_late", []string{"placement", "--data-centre", "cas-1", "testdata/placement-1.log"}, 0},
+		{"placement_no_logs", []string{"placement", "--data-centre", "cas-1"}, 2},
 		{"help", []string{"--help"}, 0},
 		{"usage", []string{"check"}, 2},
 	}
--- a/decisionlog/decisionlog.go
+++ b/decisionlog/decisionlog.go
@@ -50,7 +50,7 @@
 	"backend_ready": "server", "backend_leaving": "server", "backend_paused": "server", "backend_limited": "server", "backend_unlimited": "server", "backend_draining": "server", "backend_gone": "server", "backend_lapsed": "server", "backend_unusable": "server", "backend_doubted": "server", "backend_crashed": "server",
 	"quarantine_started": "quarantine", "quarantine_confirmed": "quarantine", "quarantine_lifted": "quarantine",
 	"settings_reloaded": "settings", "settings_refused": "settings", "peer_heard": "peer", "peer_lost": "peer",
-	"gateways_counted": "gateways", "process_paused": "pause", "store_era": "store era",
+	"gateways_counted": "gateways", "process_paused": "pause", "store_era": "store era", eventEvacuated: "evacuation", eventRestored: "evacuation",
 }
 
 // Line is one line of a log. The JSON output uses the names of the fields.
@@ -198,8 +198,8 @@
 
 // lastStates returns the last line on each topic that each gateway logged until
 // the given time, sorted by time. On the topic "server" it returns the last line
-// for each of the given servers, on the topic "quarantine" that for each rule. The topic
-// "peer" is left out.
+// for each of the given servers, on the topic "quarantine" that for each rule, on the
+// topic "evacuation" that for each data centre. The topic "peer" is left out.
 func (l *Log) lastStates(until time.Time, gateways, servers map[string]bool) []Line {
 	last := make(map[string]Line)
 	for i := range l.Lines {
@@ -217,6 +217,9 @@
 		if topic == "quarantine" {
 			topic += " " + line.Text("traits")
 		}
+		if topic == "evacuation" {
+			topic += " " + line.Text("data_centre")
+		}
 		last[line.VM+" "+topic] = *line
 	}
 	var lines []Line
