--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,6 +95,9 @@
 	// numbers of running and waiting requests, and of slots.
 	LoadKnown               bool
 	Running, Waiting, Slots int
+	// Slowness is how many times longer than usual the server states that work takes on
+	// its machine now: 1 means as usual, 0 that it does not state it.
+	Slowness float64
 }
 
 // MaxColdTime bounds the time for which a backend server states that it stays cold. Servers
