Move attempts without progress to another backend server

Change: package progress decides from the silence of an attempt, what is expected at its server, at its successor and in the fleet, the time left, the permitted runs and the retry budget. The gateway ends such an attempt, closes its connection and tries another server, at most once for a request. Log line attempt_stalled and metric sesame_gateway_attempts_stalled_total{verdict}. It applies to routes that are safe, or streams with can_resume, with attempts of 2 or more.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,6 +54,8 @@
 	resultNotRun
 	// resultMayHaveRun: the attempt failed and the request may have run.
 	resultMayHaveRun
+	// resultStalled: the attempt was ended because it made no progress; a retry is reserved.
+	resultStalled
 	// resultCallerDisconnected: the caller disconnected.
 	resultCallerDisconnected
 	// resultDeadlineExceeded: the deadline of the final response has passed.
@@ -61,7 +63,7 @@
 )
 
 var resultNames = map[attemptResult]string{
-	resultDelivered: "delivered", resultNotSent: "unsent", resultConnectionLimit: "full", resultWithheld: "withheld", resultNotRun: "not_run", resultMayHaveRun: "may_have_run", resultCallerDisconnected: "hung_up", resultDeadlineExceeded: "timed_out",
+	resultDelivered: "delivered", resultNotSent: "unsent", resultConnectionLimit: "full", resultWithheld: "withheld", resultNotRun: "not_run", resultMayHaveRun: "may_have_run", resultStalled: "stalled", resultCallerDisconnected: "hung_up", resultDeadlineExceeded: "timed_out",
 }
 
 // chosenServer is the backend server chosen for an attempt.
@@ -115,6 +117,11 @@
 			return
 		}
 		req.excluded[chosen.server.ID] = true
+		if result == resultStalled {
+			req.moved = true
+			s.metrics.retries.Inc(1)
+			continue
+		}
 		if reason := s.refuseRetry(req, fwd, result); reason != "" {
 			s.finishUnsuccessful(req, fwd, reason)
 			return
@@ -325,7 +332,7 @@
 		return routing.NotSent
 	case resultNotRun:
 		return routing.Refused
-	case resultMayHaveRun:
+	case resultMayHaveRun, resultStalled:
 		return routing.Failed
 	default:
 		return routing.Cancelled
@@ -337,6 +344,7 @@
 	chosenServer
 	info    *AttemptInfo
 	tracker *routing.Attempt
+	watch   *stallWatch
 	// writtenAt is when the request began to be written; zero if it was not.
 	writtenAt time.Time
 	// withheld is why the request was not sent; empty if it was.
@@ -347,20 +355,52 @@
 	askedPause time.Duration
 }
 
-// exchange sends the request of an attempt and forwards its response. It also
-// returns the cause of a failure.
+// exchange sends the request of an attempt and forwards its response, and moves the attempt
+// if it makes no progress. It also returns the cause of a failure.
 func (s *Server) exchange(ctx context.Context, req *request, fwd *responseForwarder, active *activeAttempt) (attemptResult, string) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	attemptCtx, abandon := context.WithCancelCause(ctx)
+	defer abandon(nil)
+	active.watch = s.newStallWatch(req, fwd, active, abandon)
+	result, err := s.exchangeWatched(attemptCtx, req, fwd, active)
+	moved, cause := active.watch.end(), ""
+	if err != nil {
+		cause = err.Error()
+	}
+	if err != nil && result == resultMayHaveRun {
+		result, cause = s.failureResult(ctx, req, err)
+	}
+	switch {
+	case moved && err != nil && result == resultMayHaveRun:
+		active.broken = false // by this gateway
+		return resultStalled, cause
+	case moved:
+		req.releaseRetry() // the attempt ended by itself at the same time
+	}
+	return result, cause
+}
+
+// errNotRun means that the backend server stated that it did not run the request.
+var errNotRun = errors.New("the server did not run it")
+
+// exchangeWatched is exchange without the watch for progress. The cause of a failure with
+// resultMayHaveRun decides its result.
+func (s *Server) exchangeWatched(ctx context.Context, req *request, fwd *responseForwarder, active *activeAttempt) (attemptResult, error) {
 	requestInfo := req.RequestInfo // a pooled connection keeps MatchesRequest, but not the request
 	ex, err := s.deps.Pool.Do(ctx, &upstream.Request{
 		Address: active.server.Address, Method: req.in.Method,
 		Head: s.deps.Codec.EncodeHead(req.in, req.RequestInfo, active.server.Address, active.info), Body: req.in.Body,
 		MaxConnections: s.connectionLimit(req),
 		MatchesRequest: func(h http.Header) bool { return s.deps.Codec.Matches(requestInfo, h) },
-		Admit:          func() bool { return s.admitSend(req, active) },
+		Admit: func() bool {
+			admitted := s.admitSend(req, active)
+			if admitted {
+				active.watch.written(active.writtenAt)
+			}
+			return admitted
+		},
 		OnLateResponse: func(status int, h http.Header) { s.applyLateResponse(requestInfo.ID, active, status, h) },
 	})
+	active.watch.responded(s.deps.Clock.Now())
 	if err != nil {
 		if !upstream.NotSent(err) {
 			req.attempts++
@@ -370,7 +410,7 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			s.doubt(serverIDOf(active.server), s.deps.Clock.Now(), "")
 		}
-		return s.failureResult(ctx, req, err)
+		return resultMayHaveRun, err
 	}
 	req.attempts++
 	fwd.status = ex.Response.StatusCode
@@ -381,23 +421,20 @@
 	s.applyStatements(active, info)
 	if info.NotRun {
 		s.drainBody(ex)
-		return resultNotRun, "the server did not run it"
+		return resultNotRun, errNotRun
 	}
 	req.runs++
 	result, err := fwd.forward(ctx, ex, info, active)
 	if err != nil {
 		ex.Abort()
 		active.broken = true
-		if result == resultMayHaveRun {
-			return s.failureResult(ctx, req, err)
-		}
-		return result, err.Error()
+		return result, err
 	}
 	ex.Release()
 	if !fwd.progressRecorded {
 		s.recordSound(req)
 	}
-	return result, ""
+	return result, nil
 }
 
 // connectionLimit returns the number of connections that this gateway may open
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -120,7 +120,7 @@
 	if f.started {
 		return resultMayHaveRun, eris.Errorf("status %d, but a part of an earlier response was already forwarded", response.StatusCode)
 	}
-	body, complete, err := f.readBuffered(ex)
+	body, complete, err := f.readBuffered(watchedReader{active.watch, ex})
 	if err != nil {
 		return resultMayHaveRun, err
 	}
@@ -129,15 +129,16 @@
 	}
 	f.firstByteAfter = f.server.sinceReceived(f.req)
 	if complete {
+		active.watch.recordFirst(f.server.deps.Clock.Now())
 		f.recordCompletion(f.req.out.WriteResponse(response.StatusCode, f.server.deps.Codec.ForwardedHeader(response.Header), body))
 		return resultDelivered, nil
 	}
-	return f.forwardRest(ex, body)
+	return f.forwardRest(ex, body, active)
 }
 
 // readBuffered reads up to maxBufferedBytes of a response. complete is true only
 // if the response is shorter.
-func (f *responseForwarder) readBuffered(ex *upstream.Exchange) (body []byte, complete bool, err error) {
+func (f *responseForwarder) readBuffered(ex io.Reader) (body []byte, complete bool, err error) {
 	body, err = io.ReadAll(io.LimitReader(ex, maxBufferedBytes))
 	if err != nil {
 		return nil, false, err
@@ -150,7 +151,7 @@
 
 // forwardRest forwards the bytes that were read first, then the rest of the
 // response as it arrives.
-func (f *responseForwarder) forwardRest(ex *upstream.Exchange, first []byte) (attemptResult, error) {
+func (f *responseForwarder) forwardRest(ex *upstream.Exchange, first []byte, active *activeAttempt) (attemptResult, error) {
 	out := f.req.out
 	out.WriteHead(ex.Response.StatusCode, f.server.deps.Codec.ForwardedHeader(ex.Response.Header), ex.Response.ContentLength)
 	f.started = true
@@ -159,7 +160,7 @@
 	}
 	buf := f.buffer()
 	for {
-		n, err := ex.Read(buf)
+		n, err := active.watch.read(ex, buf)
 		if errors.Is(err, io.EOF) {
 			f.recordCompletion(out.End(buf[:n]))
 			return resultDelivered, nil
@@ -219,18 +220,19 @@
 	}
 	f.splitter.DiscardPartial() // left by an interrupted attempt
 	if !strings.HasPrefix(ex.Response.Header.Get("Content-Type"), "text/event-stream") && !f.started {
-		return f.forwardRest(ex, nil)
+		return f.forwardRest(ex, nil, active)
 	}
 	buf := f.buffer()
 	first := true
 	for {
-		n, err := ex.Read(buf)
+		n, err := active.watch.read(ex, buf)
 		ended := errors.Is(err, io.EOF)
 		complete, events, valid := f.splitter.Feed(buf[:n])
 		if events > 0 && first {
 			first = false
 			f.limitContinuation(active)
 			active.tracker.FirstEvent(f.server.deps.Clock.Now())
+			active.watch.recordFirst(f.server.deps.Clock.Now())
 		}
 		last := ended && valid && f.splitter.PendingBytes() == 0
 		if !f.writeEvents(ex, complete, last) && !last { // a complete response that the caller did not take is recorded as such
@@ -242,6 +244,7 @@
 		case ended && f.splitter.PendingBytes() > 0:
 			return resultMayHaveRun, errors.New("the stream ended within an event")
 		case ended:
+			f.server.fleetOf(f.req.service.Name).RecordRest(f.req.route.Name, f.server.sinceReceived(f.req)-f.firstByteAfter)
 			return resultDelivered, nil
 		case err != nil:
 			return resultMayHaveRun, err
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,6 +5,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/sesameswitch/sesameswitch/progress"
 	"github.com/sesameswitch/sesameswitch/telemetry"
 )
 
@@ -57,6 +58,10 @@
 	m.registry.Counter("sesame_gateway_refused_total", "route", route, "reason", reason).Inc(1)
 }
 
+func (m *gatewayMetrics) stalled(verdict progress.Verdict) {
+	m.registry.Counter("sesame_gateway_attempts_stalled_total", "verdict", string(verdict)).Inc(1)
+}
+
 // unanswered counts a request that got no answer.
 func (m *gatewayMetrics) unanswered(reason NoAnswer) { m.noAnswers[reason].Inc(1) }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -16,6 +16,7 @@
 	"github.com/sesameswitch/sesameswitch/internal/mutation"
 	"github.com/sesameswitch/sesameswitch/limit"
 	"github.com/sesameswitch/sesameswitch/origin"
+	"github.com/sesameswitch/sesameswitch/progress"
 	"github.com/sesameswitch/sesameswitch/quarantine"
 	"github.com/sesameswitch/sesameswitch/retry"
 	"github.com/sesameswitch/sesameswitch/routes"
@@ -84,7 +85,7 @@
 type Server struct {
 	deps    Dependencies
 	metrics *gatewayMetrics
-	// mu protects rng, retryBudgets, returns and candidateLists.
+	// mu protects rng, retryBudgets, returns, candidateLists and fleets.
 	mu  sync.Mutex
 	rng *rand.Rand
 	// startedAt is when the server was created.
@@ -111,6 +112,8 @@
 	doubts *doubts
 	// candidateLists holds the last list of candidates of each service.
 	candidateLists map[string]candidateList
+	// fleets holds the open attempts at the servers of each service.
+	fleets map[string]*progress.Fleet
 }
 
 // NewServer returns a server.
@@ -118,7 +121,7 @@
 	return &Server{
 		deps: deps, metrics: newGatewayMetrics(deps.Metrics), startedAt: deps.Clock.Now(), pauses: clock.NewPauses(deps.Elapsed),
 		rng:          rand.New(rand.NewPCG(deps.Seed, 3)), //nolint:gosec // not for secrets
-		retryBudgets: make(map[string]*retry.WindowBudget), candidateLists: make(map[string]candidateList),
+		retryBudgets: make(map[string]*retry.WindowBudget), candidateLists: make(map[string]candidateList), fleets: make(map[string]*progress.Fleet),
 		pushback: retry.NewPushback(), returns: make(map[string]*retry.Returns), limits: limit.NewServers(),
 		crashes: newCrashWatch(), quarantine: quarantine.New(), origins: origin.NewRegister(), inquiries: newInquiries(), doubts: newDoubts(),
 	}
@@ -188,7 +191,9 @@
 	// attempts counts the attempts that reached a backend server, runs those of
 	// them that the backend server may have run.
 	attempts, runs int
-	log            *logrus.Entry
+	// moved reports whether an attempt was moved because it made no progress.
+	moved bool
+	log   *logrus.Entry
 }
 
 // Handle serves one request until its final response is sent or the caller
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -67,6 +67,9 @@
 	// ErrHeadTooLarge means that the head of a response exceeds Config.MaxHeadBytes. The
 	// request may have run.
 	ErrHeadTooLarge = eris.New("upstream: response head too large")
+	// ErrAbandoned is the cause with which a context is cancelled to close the connection
+	// before Do returns: no late response is awaited.
+	ErrAbandoned = eris.New("upstream: request abandoned")
 	// ErrNotAdmitted means that Request.Admit returned false.
 	ErrNotAdmitted = eris.New("upstream: request not admitted")
 )
@@ -193,7 +196,8 @@
 // connection is closed when the head has arrived or lateResponseTime has passed, and only
 // its sending side at once: what a server states about itself in a late response still
 // counts. At the deadline of the context the sending side stays open, too, as the server
-// knows the deadline. Do returns at once in either case.
+// knows the deadline. Do returns at once in either case. If the context is cancelled with
+// ErrAbandoned, the connection is closed before Do returns.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Exchange, error) {
 	c := p.takeIdle(r.Address)
 	if c == nil {
@@ -214,7 +218,7 @@
 	}
 	e.writeRequest(r)
 	if err := e.readResponseHead(r); err != nil {
-		if ctx.Err() != nil && r.OnLateResponse != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		if ctx.Err() != nil && r.OnLateResponse != nil && !errors.Is(context.Cause(ctx), ErrAbandoned) && errors.Is(err, os.ErrDeadlineExceeded) {
 			go e.awaitLateResponse(r, errors.Is(ctx.Err(), context.Canceled))
 		} else {
 			e.Abort()
