Decide about silent attempts without a choice of server while the fleet is slow

Cause: each check of a stalled attempt chose a server and went through all open attempts of the service, twice a second. With thousands of silent attempts, which is an overload, the checks alone would take whole cores (estimated, not measured).

Change: Decide asks for the successor only after all that is known without it, an attempt that is too late for any server is not checked again, and the slow servers are determined at most every 100 ms.

--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -164,21 +164,18 @@
 		w.open.Heard(now)
 	}
 	a := w.attempt(now)
-	if a.Silent < a.Limit() {
-		w.checkAfter(now, a.Limit()-a.Silent)
-		return
+	if a.Silent >= a.Limit() {
+		a.SlowServers, a.OpenServers = w.open.Slow(now)
 	}
-	a.Successor = w.successor()
-	a.SlowServers, a.OpenServers = w.open.Slow(now)
-	d := progress.Decide(a, func() bool { return s.takeRetry(w.req, interruptedStreamReserve) })
+	d := progress.Decide(a, w.successor, func() bool { return s.takeRetry(w.req, interruptedStreamReserve) })
 	if d.Verdict != progress.Progressing && d.Verdict != w.logged {
 		w.logged = d.Verdict
 		w.req.log.WithFields(logrus.Fields{
 			"event": "attempt_stalled", "server": w.active.server.ID, "verdict": d.Verdict, "silent_ms": a.Silent.Milliseconds(), "limit_ms": d.Limit.Milliseconds(),
 			"expected_ms": a.Expected.Milliseconds(), "slowest_ms": a.Slowest.Milliseconds(), "pause_ms": a.LongestPause.Milliseconds(), "target_ms": a.LatencyTarget.Milliseconds(), "rest_ms": a.Rest.Milliseconds(),
 			"left_ms": a.Remaining.Milliseconds(), "runs": a.Runs, "max_runs": a.MaxRuns, "begun": a.Begun, "repeatable": a.Repeatable,
-			"next_read_ms": a.Successor.ServiceTime.Milliseconds(), "next_wait_ms": a.Successor.Wait.Milliseconds(), "fleet_wait_ms": a.Successor.FleetWait.Milliseconds(),
-			"next_usable": a.Successor.Usable, "next_full": a.Successor.Full, "slow_servers": a.SlowServers, "open_servers": a.OpenServers,
+			"next_read_ms": d.Successor.ServiceTime.Milliseconds(), "next_wait_ms": d.Successor.Wait.Milliseconds(), "fleet_wait_ms": d.Successor.FleetWait.Milliseconds(),
+			"next_usable": d.Successor.Usable, "next_full": d.Successor.Full, "slow_servers": a.SlowServers, "open_servers": a.OpenServers,
 		}).Info("attempt has sent nothing for too long")
 		s.metrics.stalled(d.Verdict)
 	}
--- a/progress/progress.go
+++ b/progress/progress.go
@@ -39,6 +39,9 @@
 	slowSilence = MinSilence / 2
 	// minSlowServers is the least number of other slow servers that shows a slow fleet.
 	minSlowServers = 2
+	// slowInterval is how long the servers that count as slow are not determined again, which
+	// takes time in proportion to the open attempts.
+	slowInterval = 100 * time.Millisecond
 	// timeGain is the weight of one response in the usual times of a route.
 	timeGain = 0.1
 	// slowestFactor is the multiple of the longest recent time to the first event of the
@@ -111,7 +114,6 @@
 	Moved bool
 	// SlowServers of OpenServers other servers with open requests are slow, see Fleet.
 	SlowServers, OpenServers int
-	Successor                Successor
 }
 
 // Decision is the result of Decide.
@@ -121,6 +123,8 @@
 	After time.Duration
 	// Limit is the silence from which the attempt counts as stalled.
 	Limit time.Duration
+	// Successor is the server that the decision is based on, if it needed one.
+	Successor Successor
 }
 
 // Limit returns the silence from which the attempt counts as stalled, without what the
@@ -144,29 +148,37 @@
 	}
 }
 
-// Decide decides about an attempt. It calls takeRetry, which asks the retry budget, at most
-// once, and only if nothing else is against the move.
-func Decide(a *Attempt, takeRetry func() bool) Decision {
+// Decide decides about an attempt. It calls successor, which chooses a server, and takeRetry,
+// which asks the retry budget, at most once: the first only if the attempt itself is stalled,
+// the second only if nothing else is against the move.
+func Decide(a *Attempt, successor func() Successor, takeRetry func() bool) Decision {
 	d := Decision{Limit: a.Limit()}
-	if v := a.Permitted(); v != Move {
+	rest := time.Duration(restFactor * float64(a.Rest))
+	switch v := a.Permitted(); {
+	case v != Move:
 		d.Verdict = v
 		return d
-	}
-	if !a.Successor.Usable || a.Successor.Full {
-		d.Verdict, d.After = NoSuccessor, max(recheckInterval, d.Limit-a.Silent)
+	case a.Silent < d.Limit:
+		d.Verdict, d.After = Progressing, d.Limit-a.Silent
+		return d
+	case a.LatencyTarget+rest > a.Remaining:
+		d.Verdict = TooLate // for ever, as the time left only shrinks
+		return d
+	case a.SlowServers >= minSlowServers && 2*a.SlowServers > a.OpenServers:
+		d.Verdict, d.After = FleetSlow, recheckInterval
 		return d
 	}
+	d.Successor = successor()
 	// An attempt is late only relative to what servers take now.
-	expected := a.Successor.ServiceTime + max(a.Successor.Wait, a.Successor.FleetWait)
+	expected := d.Successor.ServiceTime + max(d.Successor.Wait, d.Successor.FleetWait)
 	d.Limit = max(d.Limit, silenceFactor*expected)
-	needed := max(a.LatencyTarget, successorFactor*expected) + time.Duration(restFactor*float64(a.Rest))
 	switch {
+	case !d.Successor.Usable || d.Successor.Full:
+		d.Verdict, d.After = NoSuccessor, recheckInterval
 	case a.Silent < d.Limit:
 		d.Verdict, d.After = Progressing, d.Limit-a.Silent
-	case needed > a.Remaining:
+	case successorFactor*expected+rest > a.Remaining:
 		d.Verdict, d.After = TooLate, recheckInterval
-	case a.SlowServers >= minSlowServers && 2*a.SlowServers > a.OpenServers:
-		d.Verdict, d.After = FleetSlow, recheckInterval
 	case !takeRetry():
 		d.Verdict, d.After = NoBudget, budgetInterval
 	default:
@@ -179,9 +191,12 @@
 // most servers are slow at the same time, before any estimate does. It is safe for
 // concurrent use.
 type Fleet struct {
-	mu    sync.Mutex
-	open  map[*Open]struct{}
-	times map[string]*routeTimes
+	mu   sync.Mutex
+	open map[*Open]struct{}
+	// slow holds the servers with open attempts as of slowAt, and whether each was slow.
+	slow   map[string]bool
+	slowAt time.Time
+	times  map[string]*routeTimes
 }
 
 // NewFleet returns a Fleet without attempts.
@@ -252,23 +267,26 @@
 }
 
 // Slow returns how many servers other than that of the attempt have open attempts, and at how
-// many of them one is silent for longer than expected.
+// many of them one is silent for longer than expected, as of at most slowInterval ago.
 func (o *Open) Slow(now time.Time) (slow, open int) {
 	o.fleet.mu.Lock()
 	defer o.fleet.mu.Unlock()
-	silent := make(map[string]bool)
-	for other := range o.fleet.open {
-		if other.server == o.server {
-			continue
+	if f := o.fleet; f.slow == nil || now.Sub(f.slowAt) >= slowInterval {
+		f.slow, f.slowAt = make(map[string]bool), now
+		for other := range f.open {
+			f.slow[other.server] = f.slow[other.server] || other.Silent(now) >= max(slowSilence, other.expected)
 		}
-		silent[other.server] = silent[other.server] || other.Silent(now) >= max(slowSilence, other.expected)
 	}
-	for _, s := range silent {
-		if s {
+	for server, isSlow := range o.fleet.slow {
+		if server == o.server {
+			continue
+		}
+		open++
+		if isSlow {
 			slow++
 		}
 	}
-	return slow, len(silent)
+	return slow, open
 }
 
 // RecordRest records the time from the first event of a complete response to its end.
--- a/progress/progress_test.go
+++ b/progress/progress_test.go
@@ -15,45 +15,54 @@
 	return progress.Attempt{
 		Silent: 2000 * ms, Expected: 200 * ms, LatencyTarget: time.Second, Rest: time.Second, Remaining: 6 * time.Second,
 		Repeatable: true, Runs: 1, MaxRuns: 2, OpenServers: 4,
-		Successor: progress.Successor{Usable: true, ServiceTime: 200 * ms, Wait: 20 * ms, FleetWait: 10 * ms},
 	}
 }
 
+// otherServer returns a server to which an attempt is moved.
+func otherServer() progress.Successor {
+	return progress.Successor{Usable: true, ServiceTime: 200 * ms, Wait: 20 * ms, FleetWait: 10 * ms}
+}
+
 // TestDecision guards against a move that cannot help or must not happen, and against a stalled
 // attempt that stays.
 func TestDecision(t *testing.T) {
 	for _, test := range []struct {
 		name     string
-		change   func(a *progress.Attempt)
+		change   func(a *progress.Attempt, b *progress.Successor)
 		noBudget bool
 		want     progress.Verdict
 		after    time.Duration
 	}{
-		{"stalled", func(*progress.Attempt) {}, false, progress.Move, 0},
-		{"stalled-within-stream", func(a *progress.Attempt) { a.Begun, a.LongestPause, a.Slowest = true, 300*ms, 5*time.Second }, false, progress.Move, 0},
-		{"below-least-silence", func(a *progress.Attempt) { a.Silent, a.Expected = 1499*ms, ms }, false, progress.Progressing, ms},
-		{"before-latency-target", func(a *progress.Attempt) { a.LatencyTarget = 2100 * ms }, false, progress.Progressing, 100 * ms},
-		{"long-prefill-expected", func(a *progress.Attempt) { a.Expected = 600 * ms }, false, progress.Progressing, 400 * ms},
-		{"route-took-as-long", func(a *progress.Attempt) { a.Slowest = 1500 * ms }, false, progress.Progressing, time.Second},
-		{"slow-stream", func(a *progress.Attempt) { a.Begun, a.LongestPause = true, 550*ms }, false, progress.Progressing, 200 * ms},
-		{"fleet-waits", func(a *progress.Attempt) { a.Successor.FleetWait = 400 * ms }, false, progress.Progressing, 400 * ms},
-		{"successor-waits", func(a *progress.Attempt) { a.Successor.Wait = 400 * ms }, false, progress.Progressing, 400 * ms},
-		{"fleet-is-silent", func(a *progress.Attempt) { a.SlowServers = 3 }, false, progress.FleetSlow, 500 * ms},
-		{"half-is-silent", func(a *progress.Attempt) { a.SlowServers = 2 }, false, progress.Move, 0},
-		{"one-other-is-silent", func(a *progress.Attempt) { a.SlowServers, a.OpenServers = 1, 1 }, false, progress.Move, 0},
-		{"successor-too-late", func(a *progress.Attempt) { a.Remaining = 2499 * ms }, false, progress.TooLate, 500 * ms},
-		{"successor-just-in-time", func(a *progress.Attempt) { a.Remaining = 2500 * ms }, false, progress.Move, 0},
-		{"at-most-once", func(a *progress.Attempt) { a.Repeatable = false }, false, progress.OnceOnly, 0},
-		{"runs-used", func(a *progress.Attempt) { a.Runs = 2 }, false, progress.OnceOnly, 0},
-		{"one-run-by-default", func(a *progress.Attempt) { a.MaxRuns = 0 }, false, progress.OnceOnly, 0},
-		{"moved-before", func(a *progress.Attempt) { a.Moved, a.MaxRuns = true, 3 }, false, progress.MovedBefore, 0},
-		{"no-other-server", func(a *progress.Attempt) { a.Successor.Usable = false }, false, progress.NoSuccessor, 500 * ms},
-		{"no-capacity", func(a *progress.Attempt) { a.Successor.Full = true }, false, progress.NoSuccessor, 500 * ms},
-		{"no-budget", func(*progress.Attempt) {}, true, progress.NoBudget, 2 * time.Second},
+		{"stalled", func(*progress.Attempt, *progress.Successor) {}, false, progress.Move, 0},
+		{"stalled-within-stream", func(a *progress.Attempt, b *progress.Successor) {
+			a.Begun, a.LongestPause, a.Slowest = true, 300*ms, 5*time.Second
+		}, false, progress.Move, 0},
+		{"below-least-silence", func(a *progress.Attempt, b *progress.Successor) { a.Silent, a.Expected = 1499*ms, ms }, false, progress.Progressing, ms},
+		{"before-latency-target", func(a *progress.Attempt, b *progress.Successor) { a.LatencyTarget = 2100 * ms }, false, progress.Progressing, 100 * ms},
+		{"long-prefill-expected", func(a *progress.Attempt, b *progress.Successor) { a.Expected = 600 * ms }, false, progress.Progressing, 400 * ms},
+		{"route-took-as-long", func(a *progress.Attempt, b *progress.Successor) { a.Slowest = 1500 * ms }, false, progress.Progressing, time.Second},
+		{"slow-stream", func(a *progress.Attempt, b *progress.Successor) { a.Begun, a.LongestPause = true, 550*ms }, false, progress.Progressing, 200 * ms},
+		{"fleet-waits", func(a *progress.Attempt, b *progress.Successor) { b.FleetWait = 400 * ms }, false, progress.Progressing, 400 * ms},
+		{"successor-waits", func(a *progress.Attempt, b *progress.Successor) { b.Wait = 400 * ms }, false, progress.Progressing, 400 * ms},
+		{"fleet-is-silent", func(a *progress.Attempt, b *progress.Successor) { a.SlowServers = 3 }, false, progress.FleetSlow, 500 * ms},
+		{"half-is-silent", func(a *progress.Attempt, b *progress.Successor) { a.SlowServers = 2 }, false, progress.Move, 0},
+		{"one-other-is-silent", func(a *progress.Attempt, b *progress.Successor) { a.SlowServers, a.OpenServers = 1, 1 }, false, progress.Move, 0},
+		{"successor-too-late", func(a *progress.Attempt, b *progress.Successor) { a.Remaining = 2499 * ms }, false, progress.TooLate, 0},
+		{"successor-too-slow", func(a *progress.Attempt, b *progress.Successor) {
+			a.Silent, a.Remaining, b.Wait = 9*time.Second, 5*time.Second, 1600*ms
+		}, false, progress.TooLate, 500 * ms},
+		{"successor-just-in-time", func(a *progress.Attempt, b *progress.Successor) { a.Remaining = 2500 * ms }, false, progress.Move, 0},
+		{"at-most-once", func(a *progress.Attempt, b *progress.Successor) { a.Repeatable = false }, false, progress.OnceOnly, 0},
+		{"runs-used", func(a *progress.Attempt, b *progress.Successor) { a.Runs = 2 }, false, progress.OnceOnly, 0},
+		{"one-run-by-default", func(a *progress.Attempt, b *progress.Successor) { a.MaxRuns = 0 }, false, progress.OnceOnly, 0},
+		{"moved-before", func(a *progress.Attempt, b *progress.Successor) { a.Moved, a.MaxRuns = true, 3 }, false, progress.MovedBefore, 0},
+		{"no-other-server", func(a *progress.Attempt, b *progress.Successor) { b.Usable = false }, false, progress.NoSuccessor, 500 * ms},
+		{"no-capacity", func(a *progress.Attempt, b *progress.Successor) { b.Full = true }, false, progress.NoSuccessor, 500 * ms},
+		{"no-budget", func(*progress.Attempt, *progress.Successor) {}, true, progress.NoBudget, 2 * time.Second},
 	} {
-		a, asked := stalledAttempt(), 0
-		test.change(&a)
-		d := progress.Decide(&a, func() bool { asked++; return !test.noBudget })
+		a, b, asked := stalledAttempt(), otherServer(), 0
+		test.change(&a, &b)
+		d := progress.Decide(&a, func() progress.Successor { return b }, func() bool { asked++; return !test.noBudget })
 		if d.Verdict != test.want || d.After != test.after {
 			t.Errorf("%s: got %+v, want %s, again after %v", test.name, d, test.want, test.after)
 		}
@@ -99,7 +108,7 @@
 			a.Silent, a.Moved, a.Remaining = silent, r.moved, deadline-now.Sub(r.sentAt)
 			a.Slowest, a.Rest = fleet.Times("r", time.Second)
 			a.SlowServers, a.OpenServers = r.open.Slow(now)
-			if progress.Decide(&a, func() bool { return allowed }).Verdict == progress.Move {
+			if progress.Decide(&a, otherServer, func() bool { return allowed }).Verdict == progress.Move {
 				r.open.End()
 				next := (r.server + 1 + rng.IntN(servers-1)) % servers
 				r.server, r.moved, r.open = next, true, fleet.Begin(now, string(rune('a'+next)), 200*ms)
