--- a/gateway/tokenmessages.go
+++ b/gateway/tokenmessages.go
@@ -17,6 +17,8 @@
 	// and the answer of a gateway that gives some away.
 	tokenAskMark  = dataCentreMark + "ask="
 	tokenLendMark = dataCentreMark + "lend="
+	// maxTokenBytes limits the entries about tokens in one datagram.
+	maxTokenBytes = 1000
 	// maxTokens bounds the tokens in a message.
 	maxTokens = 64
 )
@@ -97,7 +99,7 @@
 		return false
 	}
 	entry := tokenMessage{server, q.ID, q.Tokens}.encode(tokenAskMark)
-	p.sendEntries(conn, []string{holders[q.Turn%len(holders)]}, []string{entry}, maxOriginBytes)
+	p.sendEntries(conn, []string{holders[q.Turn%len(holders)]}, []string{entry}, maxTokenBytes)
 	return true
 }
 
@@ -121,7 +123,7 @@
 			}
 		}
 	}
-	p.sendEntries(conn, []string{message.From}, answers, maxOriginBytes)
+	p.sendEntries(conn, []string{message.From}, answers, maxTokenBytes)
 }
 
 var _ TokenAsker = (*Peers)(nil)
