--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -21,6 +21,8 @@
 	// maxColdStatements limits the servers whose statements that they are cold are
 	// remembered.
 	maxColdStatements = 4096
+	// coldShareAge is how long a share is used before it is determined again.
+	coldShareAge = 100 * time.Millisecond
 	// maxColdWithheld is how often a request may lose a token that it was chosen for to
 	// another one before the server is left out for it.
 	maxColdWithheld = 3
@@ -44,6 +46,9 @@
 	seen map[string]coldSeen
 	// services holds the service of each cold server, for log lines.
 	services map[retry.Incarnation]string
+	// shares holds recent shares, by the ID of the server.
+	sharesMu sync.Mutex
+	shares   map[string]coldShare
 }
 
 // coldSeen identifies the knowledge by which the servers of a service were checked.
@@ -56,6 +61,7 @@
 
 func (w *coldWatch) init() {
 	w.statedUntil, w.seen, w.services = make(map[retry.Incarnation]time.Time), make(map[string]coldSeen), make(map[retry.Incarnation]string)
+	w.shares = make(map[string]coldShare)
 }
 
 // recordCold records that a response stated for how long its server stays cold. A shorter
@@ -178,6 +184,30 @@
 	}
 }
 
+// coldShare is a share that was determined some time ago.
+type coldShare struct {
+	limit.Share
+	at time.Time
+}
+
+// coldShareOf returns this gateway's share of the limit of a server, which may be
+// coldShareAge old: after an evacuation, each choice asks for the shares of many cold
+// servers, and each share depends on all gateways.
+func (s *Server) coldShareOf(now time.Time, server retry.Incarnation) limit.Share {
+	s.cold.sharesMu.Lock()
+	defer s.cold.sharesMu.Unlock()
+	known, found := s.cold.shares[server.ID]
+	if found && now.Sub(known.at) < coldShareAge {
+		return known.Share
+	}
+	if len(s.cold.shares) >= maxColdStatements {
+		clear(s.cold.shares)
+	}
+	known = coldShare{s.limitShare(server), now}
+	s.cold.shares[server.ID] = known
+	return known.Share
+}
+
 // withoutToken adds the cold servers for which there is no token to the excluded ones.
 func (s *Server) withoutToken(excluded map[string]bool, usable []*directory.BackendServer) map[string]bool {
 	now, all := s.deps.Clock.Now(), make(map[string]bool, len(excluded)+1)
@@ -185,7 +215,7 @@
 		all[id] = true
 	}
 	for _, b := range usable {
-		if incarnation := incarnationOf(b); s.limits.Limited(now, incarnation) && !s.limits.HasToken(now, incarnation, s.limitShare(incarnation)) {
+		if incarnation := incarnationOf(b); s.limits.Limited(now, incarnation) && !s.limits.HasToken(now, incarnation, s.coldShareOf(now, incarnation)) {
 			all[b.ID] = true
 		}
 	}
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/sesameswitch/sesameswitch/admission"
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/deployment"
@@ -204,3 +207,49 @@
 		}
 	}
 }
+
+// tokenBank lends at most one token for each question, and keeps the answers that it gets.
+type tokenBank struct{ got []tokenMessage }
+
+func (b *tokenBank) LendTokens(_ retry.Incarnation, wanted int) int { return min(wanted, 1) }
+
+func (b *tokenBank) ApplyLentTokens(server retry.Incarnation, question int64, tokens int) {
+	b.got = append(b.got, tokenMessage{server, question, tokens})
+}
+
+// TestQuestionIsNotAnswered guards against a question whose answer does not reach the gateway
+// that asked, or names another question, and against entries that a gateway of the version
+// before takes for the data centre, which is the last entry.
+func TestQuestionIsNotAnswered(t *testing.T) {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	newPeers := func(address string) (*Peers, *tokenBank) {
+		p, bank := NewPeers(&deployment.Settings{PeerAddress: address, DataCentre: "dc"}, routing.NewScheduler("a"), clock.NewManual(epoch), discardLog()), &tokenBank{}
+		p.Tokens = bank
+		return p, bank
+	}
+	asker, got := newPeers(conn.LocalAddr().String())
+	lender, _ := newPeers("127.0.0.1:9")
+	asked := tokenMessage{retry.Incarnation{ID: "i-1", StartedAtMs: 7}, 12345, 3}
+	lender.applyTokenEntries(conn, asker.entriesMessage([]string{asked.encode(tokenAskMark)}))
+	if err := conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil { // only to detect a lost answer
+		t.Fatal(err)
+	}
+	buf := make([]byte, maxDatagramBytes)
+	n, err := conn.Read(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var answer peerMessage
+	if err := msgpack.Unmarshal(buf[:n], &answer); err != nil {
+		t.Fatal(err)
+	}
+	asker.applyTokenEntries(conn, answer)
+	asked.tokens = 1
+	if !slices.Equal(got.got, []tokenMessage{asked}) || answer.Known[len(answer.Known)-1] != dataCentreMark+"dc" {
+		t.Errorf("got %+v in %q, want %+v before the data centre", got.got, answer.Known, asked)
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -74,7 +74,7 @@
 	// one names the data centre of the sender, relayMark asks the receiver to relay
 	// the message, the number after countMark is that of the gateways that share
 	// limits, limitMark begins a report about the limit of a backend server, and there are
-	// others about crashes and about where streams began.
+	// others about crashes, where streams began and tokens of cold servers.
 	dataCentreMark = "@"
 	relayMark      = dataCentreMark + "relay"
 	countMark      = dataCentreMark + "gateways="
