Test cold servers and random evacuations with real gateways

The plans restart one and all servers of a service cold, evacuate a data centre whose servers are cold afterwards, kill a gateway meanwhile and cut one off the store. A seed with the new kinds is added to TestRandomPlansPass (seed 4).

An evacuation now lasts 2.5 s longer than the fault instead of 4 s, and begins while the other data centre is evacuated only in two of five variants.

--- a/soak/evacuation.go
+++ b/soak/evacuation.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,8 +14,12 @@
 	// maxEvacuationDelay bounds the time from the acknowledgement of the key that evacuates a
 	// data centre until a gateway sends nothing there, if it can reach the store.
 	maxEvacuationDelay = 2 * time.Second
-	// evacuationHold is how much longer than other faults a data centre is evacuated.
-	evacuationHold = 4 * time.Second
+	// evacuationHold is how much longer than other faults a data centre is evacuated, so that
+	// the check covers the duration of the fault.
+	evacuationHold = maxEvacuationDelay + maxRecordingDelay
+	// minVariantOfAll is the smallest variant that evacuates a data centre also while the other
+	// one is evacuated. Then all requests are refused, and other faults have no effect.
+	minVariantOfAll = 3
 )
 
 // dataCentres are the data centres of a test with evacuations.
@@ -67,14 +73,15 @@
 }
 
 // evacuate writes the key of a data centre and removes it later. Its servers are cold from
-// then on if the variant is even. It does nothing if the data centre is evacuated already.
+// then on if the variant is even. It does nothing if the data centre is evacuated already, or
+// if the other one is and the variant is below minVariantOfAll.
 func (d *deployment) evacuate(f Fault) {
 	dataCentre := dataCentres[f.Target%len(dataCentres)]
 	d.mu.Lock()
-	going := d.evacuated[dataCentre]
-	d.evacuated[dataCentre] = true
+	skip := d.evacuated[dataCentre] || f.Variant < minVariantOfAll && slices.Contains(slices.Collect(maps.Values(d.evacuated)), true)
+	d.evacuated[dataCentre] = d.evacuated[dataCentre] || !skip
 	d.mu.Unlock()
-	if going {
+	if skip {
 		return
 	}
 	d.evacuationMu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -202,9 +202,9 @@
 	o := soak.DefaultOptions()
 	o.Bin, o.Evacuations, o.Duration = buildGateway(t), true, 10*time.Second
 	second := time.Second
-	evacuated := soak.Fault{Kind: soak.EvacuateDataCentre, At: second, For: 3 * second, Variant: 1}
+	evacuated := soak.Fault{Kind: soak.EvacuateDataCentre, At: second, For: 4 * second, Variant: 1}
 	other := evacuated
-	other.Target = 1
+	other.Target, other.Variant = 1, 3
 	for name, plan := range map[string][]soak.Fault{
 		"alone":                  {evacuated},
 		"all":                    {evacuated, other},
@@ -222,8 +222,31 @@
 	}
 }
 
-// TestRandomPlansPass runs the plans of a few seeds, which must violate no
-// guarantee.
+// TestColdServerOfRealGatewaysIsFlooded guards against gateways that together send a cold server
+// more requests in any second than it takes, after it restarted and after an evacuation.
+func TestColdServerOfRealGatewaysIsFlooded(t *testing.T) {
+	o := soak.DefaultOptions()
+	o.Bin, o.Evacuations, o.Duration = buildGateway(t), true, 10*time.Second
+	second := time.Second
+	restarted := soak.Fault{Kind: soak.ServerRestartsCold, At: second, For: second}
+	for name, plan := range map[string][]soak.Fault{
+		"restarted":              {restarted},
+		"all-of-a-service":       {restarted, {Kind: soak.ServerRestartsCold, At: second, For: second, Variant: 1}, {Kind: soak.ServerRestartsCold, At: second, For: second, Variant: 2}},
+		"after-an-evacuation":    {{Kind: soak.EvacuateDataCentre, At: second}},
+		"with-gateway-restarted": {restarted, {Kind: soak.KillGateway, At: 2 * second, For: second / 2, Target: 1}},
+		"with-store-cut-off":     {restarted, {Kind: soak.StoreLinkFault, At: second, For: 3 * second, Target: 1, Variant: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := o
+			o.Plan = plan
+			requirePass(t, soak.RunSeed(o, 1))
+		})
+	}
+}
+
+// TestRandomPlansPass runs the plans of a few seeds, one of them with evacuations and
+// cold servers, which must violate no guarantee.
 func TestRandomPlansPass(t *testing.T) {
 	o := soak.DefaultOptions()
 	o.Bin = buildGateway(t)
@@ -233,6 +256,12 @@
 			requirePass(t, soak.RunSeed(o, seed))
 		})
 	}
+	t.Run("evacuations", func(t *testing.T) {
+		t.Parallel()
+		o := o
+		o.Evacuations = true
+		requirePass(t, soak.RunSeed(o, 4))
+	})
 }
 
 // TestDisabledGuardsAreDetected disables one mutation guard at a time. The checks
