Learn the usual speed of backend servers and share it between gateways

Engines that run at half the speed of others got the same requests. Each gateway now compares the short pauses of its streams (an eighth of the pauses are below it), and first events that no other prompt delayed, with the mean of the service, and corrects them for the stated slowness. A server counts as slow or fast from a factor of 1.5 to the median of its service and as usual again below 1.2; the estimates and the limit of pending prefill then follow the learnt speed, and a latency-sensitive stream avoids a server where its longest pause would miss its target. Statements that exceed what is observed are corrected.

Gateways exchange observations and statements with the load hints, at once for a server that becomes much slower. They are entries of peerMessage.Known: the codec refuses an array with another number of fields, so a gateway of an earlier version could not decode a hint with new last fields.

Ruled out: the lower quartile of the pauses and observations under overload, which gave false classes in the simulation of bursts.

go test ./routing ./gateway; -race -run 'Slow|Stated|Choose|Pool|Hint' ./routing, -run 'Speed|Hint|Peers|Mark' ./gateway: pass.

--- a/gateway/crashreports.go
+++ b/gateway/crashreports.go
@@ -227,7 +227,7 @@
 // isReportEntry reports whether an entry of peerMessage.Known reports something about
 // backend servers or streams.
 func isReportEntry(entry string) bool {
-	for _, mark := range []string{limitMark, crashMark, beganMark, soundMark, ruleMark, liftMark, trialMark, originMark, originAskMark, originSoleMark, originUnknownMark} {
+	for _, mark := range []string{limitMark, speedMark, crashMark, beganMark, soundMark, ruleMark, liftMark, trialMark, originMark, originAskMark, originSoleMark, originUnknownMark} {
 		if strings.HasPrefix(entry, mark) {
 			return true
 		}
--- a/gateway/entries.go
+++ b/gateway/entries.go
@@ -16,14 +16,16 @@
 	}
 }
 
+// entryLengthBytes is the size of the encoded length of an entry.
+const entryLengthBytes = 3
+
 // splitEntries divides entries into groups whose encoding takes at most limit bytes, if each
 // entry does.
 func splitEntries(entries []string, limit int) [][]string {
-	const lengthBytes = 3
 	var groups [][]string
 	size := 0
 	for _, entry := range entries {
-		encoded := len(entry) + lengthBytes
+		encoded := len(entry) + entryLengthBytes
 		if size += encoded; len(groups) == 0 || size > limit {
 			groups, size = append(groups, nil), encoded
 		}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -226,6 +226,8 @@
 			first = false
 			f.limitContinuation(active)
 			active.tracker.FirstEvent(f.server.deps.Clock.Now())
+		} else if events > 0 {
+			active.tracker.Events(f.server.deps.Clock.Now(), events)
 		}
 		if !f.writeEvents(ex, complete, ended && valid && f.splitter.PendingBytes() == 0) {
 			return resultCallerDisconnected, errors.New("write to the caller failed")
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -270,8 +270,10 @@
 func (p *Peers) sendHintsNow(conn *net.UDPConn, hints []routing.Hint) {
 	direct, relays := p.hintTargets()
 	for _, batch := range splitHints(hints) {
-		p.send(conn, direct, peerMessage{From: p.address, Known: []string{dataCentreMark + p.dataCentre}, Hints: batch})
-		p.send(conn, relays, peerMessage{From: p.address, Known: []string{dataCentreMark + p.dataCentre, relayMark}, Hints: batch})
+		message := p.hintMessage(batch)
+		p.send(conn, direct, message)
+		message.Known = append(message.Known, relayMark)
+		p.send(conn, relays, message)
 	}
 }
 
@@ -323,6 +325,9 @@
 	size, from := 0, 0
 	for i := range hints {
 		hintSize := hintOverheadBytes + len(hints[i].Server)
+		if entry := speedEntry(&hints[i]); entry != "" {
+			hintSize += entryLengthBytes + len(entry)
+		}
 		for _, segment := range hints[i].Segments {
 			hintSize += segmentOverheadBytes + len(segment.ID)
 		}
@@ -487,6 +492,7 @@
 	p.recordSharing(now, message)
 	if len(message.Hints) > 0 {
 		ttl := max(minHintTTL, hintTTLIntervals*hintIntervalFor(p.liveCountAt(now)))
+		attachSpeeds(message)
 		p.hints.ApplyHints(now, now.Add(ttl), message.From, message.Hints)
 	}
 	for _, address := range message.Known {
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -27,6 +27,11 @@
 	// fleet holds the figures over all candidates as of fleetAt.
 	fleet   fleetLoad
 	fleetAt time.Time
+	// ranked holds the indexes of all entries in the order of poolRank.
+	ranked []int
+	// slownesses is scratch space for compareSpeeds, which last ran at speedsAt.
+	slownesses []float64
+	speedsAt   time.Time
 }
 
 // candidate is a server with what is known about it.
@@ -68,8 +73,7 @@
 	if c != nil && len(c.servers) == len(servers) && &c.servers[0] == &servers[0] {
 		return c
 	}
-	c = &candidates{servers: servers, entries: make([]candidate, len(servers)), pendingPrefill: make([]int, len(servers))}
-	ranked := make([]int, len(servers))
+	c = &candidates{servers: servers, entries: make([]candidate, len(servers)), pendingPrefill: make([]int, len(servers)), ranked: make([]int, len(servers)), slownesses: make([]float64, 0, len(servers))}
 	versions := map[string]int{"": unknownVersion}
 	for i := range servers {
 		version, known := versions[servers[i].SoftwareVersion]
@@ -81,17 +85,25 @@
 		st.candidates, st.index = c, i
 		st.speed.reset(servers[i].StartedAtMs)
 		c.entries[i] = candidate{serverState: st, idHash: xxhash.Sum64String(servers[i].ID), version: version, local: servers[i].DataCentre == s.dataCentre}
-		ranked[i] = i
-	}
-	slices.SortStableFunc(ranked, func(a, b int) int { return cmp.Compare(mix(c.entries[a].idHash), mix(c.entries[b].idHash)) })
-	for rank, i := range ranked {
-		c.entries[i].poolRank = rank
+		c.ranked[i] = i
 	}
+	c.rankForPool()
 	c.sources = make([]transferSource, len(versions)-1)
 	service.candidates = c
 	return c
 }
 
+// rankForPool orders the servers for the latency-sensitive pool.
+func (c *candidates) rankForPool() {
+	slices.SortFunc(c.ranked, func(a, b int) int {
+		x, y := &c.entries[a], &c.entries[b]
+		return cmp.Or(cmp.Compare(mix(x.idHash), mix(y.idHash)), cmp.Compare(a, b))
+	})
+	for rank, i := range c.ranked {
+		c.entries[i].poolRank = rank
+	}
+}
+
 // fleetLoadAt returns the figures over all candidates, at most fleetInterval old. It
 // also updates the streams from which the size of the latency-sensitive pool is
 // computed.
@@ -99,6 +111,7 @@
 	if age := now.Sub(c.fleetAt); age >= 0 && age < fleetInterval {
 		return c.fleet
 	}
+	c.compareSpeeds(now)
 	c.fleet, c.fleetAt = fleetLoad{}, now
 	streams := 0
 	for i := range c.entries {
--- a/routing/hint.go
+++ b/routing/hint.go
@@ -29,6 +29,9 @@
 	// ResidualTokens counts the tokens that requests which ended since the last
 	// hint left in the server's KV cache.
 	ResidualTokens int
+	// Speed is nil if there is nothing to tell. It is not part of the encoding, as gateways of
+	// earlier versions cannot decode a hint with more fields.
+	Speed *SpeedHint `msgpack:"-"`
 }
 
 // peerHint is the load of a peer gateway at a server.
@@ -123,7 +126,7 @@
 	return s.collect(now, func(*serverState) bool { return true })
 }
 
-func (s *Scheduler) collect(_ time.Time, include func(*serverState) bool) []Hint {
+func (s *Scheduler) collect(now time.Time, include func(*serverState) bool) []Hint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var hints []Hint
@@ -134,7 +137,7 @@
 		if st.inFlight > 0 {
 			st.advertisements = idleAdvertisements
 		}
-		if st.inFlight == 0 && len(st.unadvertised)+len(st.advertised) == 0 && st.residualTokens == 0 && st.advertisements == 0 {
+		if st.inFlight == 0 && len(st.unadvertised)+len(st.advertised) == 0 && st.residualTokens == 0 && st.advertisements == 0 && !st.speed.statedUnsent {
 			continue
 		}
 		if st.inFlight == 0 {
@@ -144,7 +147,7 @@
 		if len(segments) > maxHintSegments {
 			segments = segments[len(segments)-maxHintSegments:]
 		}
-		hints = append(hints, Hint{Server: id, InFlight: st.inFlight, UnsharedTokens: st.unsharedTokens, PendingPrefill: st.pendingPrefill, LatencySensitive: st.latencySensitive, Segments: segments, KVCacheTokens: st.kvCacheTokens, ResidualTokens: st.residualTokens})
+		hints = append(hints, Hint{Server: id, InFlight: st.inFlight, UnsharedTokens: st.unsharedTokens, PendingPrefill: st.pendingPrefill, LatencySensitive: st.latencySensitive, Segments: segments, KVCacheTokens: st.kvCacheTokens, ResidualTokens: st.residualTokens, Speed: st.speed.collect(now)})
 		st.residualTokens = 0
 		st.advertisedPrefill = st.pendingPrefill
 		st.advertised, st.unadvertised = st.unadvertised, nil
@@ -170,6 +173,7 @@
 			st.kvCacheTokens = h.KVCacheTokens
 		}
 		st.addResidual(now, h.ResidualTokens)
+		st.speed.apply(now, h.Speed)
 	}
 }
 
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -15,6 +15,9 @@
 	// contenders is the number of peer gateways that are expected to send to a
 	// server before their load hints arrive.
 	contenders float64
+	// usualPause is the usual longest pause of a latency-sensitive stream of the job's route, in
+	// milliseconds; zero if unknown or if the job is none.
+	usualPause float64
 }
 
 // transferSource is the server of one software version with the longest prefilled prefix of
--- a/routing/scheduler.go
+++ b/routing/scheduler.go
@@ -279,6 +279,11 @@
 	// gateways as of streamsAt, with exponential decay.
 	streams   float64
 	streamsAt time.Time
+	// usual holds the mean times with which the speeds of servers are compared, and
+	// longestPauses the mean of the longest pause of a latency-sensitive stream by route, in
+	// milliseconds, at a usual server.
+	usual         map[usualKey]usual
+	longestPauses map[string]float64
 	// candidates is the index over the servers of the last choice.
 	candidates *candidates
 }
@@ -291,6 +296,7 @@
 			prefillRate:  defaultPrefillRate,
 			serviceTimes: make(map[string]float64),
 			failureRates: make(map[string]float64),
+			usual:        make(map[usualKey]usual), longestPauses: make(map[string]float64),
 		}
 		s.services[name] = svc
 	}
@@ -343,6 +349,9 @@
 	home, p := s.findPrefix(j, fleet, poolSize, latencySensitive)
 	p.fleet = figures
 	p.contenders = s.contenders(now, p.fleet.open)
+	if latencySensitive {
+		p.usualPause = service.longestPauses[j.Route]
+	}
 	best := Choice{Index: -1}
 	for i := range fleet.entries {
 		if len(excluded) > 0 && excluded[servers[i].ID] {
@@ -421,7 +430,7 @@
 		limit := maxPendingPrefill * (1 - rankReserve*float64(j.Rank))
 		c.Full = overflow > 0 || (float64(l.pendingPrefill)+p.contenders*st.recentTokensNow(now))/prefillRate > limit
 		c.Wait += cacheOverflowWeight * overflow / prefillRate
-		c.Penalty += interference(l, latencySensitive, c.ServiceTime, prefillRate)
+		c.Penalty += interference(l, latencySensitive, c.ServiceTime, prefillRate) + longPausePenalty(j, p.usualPause, timeFactor)
 	} else {
 		serviceTime := service.meanServiceTime(j.Route) * max(st.slowdownNow(now), timeFactor)
 		slots := float64(max(1, server.Slots))
--- a/routing/server.go
+++ b/routing/server.go
@@ -266,6 +266,17 @@
 	added []Segment
 	// started reports whether the response has had its first event.
 	started bool
+	// startedAtMs is the incarnation of the server.
+	startedAtMs int64
+	// undelayed reports whether hardly any prefill was pending when the job was sent.
+	undelayed bool
+	// overloaded reports whether much prefill was pending at the first event.
+	overloaded bool
+	// inFlight and stated are the requests in flight and the stated slowness, as its natural
+	// logarithm, at the first event.
+	inFlight int
+	stated   float64
+	pauses   pauses
 }
 
 // StartAttempt records that a job is sent to the chosen server.
@@ -276,11 +287,13 @@
 	a := &Attempt{
 		scheduler: s, job: j, server: server, sentAt: now, uncachedTokens: c.UncachedTokens, expectedMs: c.ServiceTime + c.Wait,
 		unshared: j.unsharedPromptTokens() + j.OutputTokens, prefilling: j.Generates, transferred: c.TransferSource != "",
+		startedAtMs: st.speed.startedAtMs,
 	}
 	st.inFlight++
 	if !j.Generates {
 		return a
 	}
+	a.undelayed = !a.transferred && st.load(now).pendingPrefill <= maxPendingForSpeed
 	st.unsharedTokens += a.unshared
 	st.pendingPrefill += c.UncachedTokens
 	s.notifyIfUrgent(st)
@@ -316,6 +329,8 @@
 		service.recordPrefillRate(float64(a.uncachedTokens) / max(1, took-baseFirstEventTime))
 	}
 	st.recordSlowdown(now, took, a.expectedMs+baseFirstEventTime)
+	a.observeFirstEvent(now, st, service)
+	a.pauses.last = now
 }
 
 const (
@@ -429,6 +444,7 @@
 		a.retractSegments(st)
 	}
 	service := a.scheduler.service(a.job.Service)
+	a.observePauses(now, st, service)
 	switch result {
 	case Succeeded:
 		a.succeeded(now, st, service)
--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -57,6 +57,8 @@
 	arrived, deadline, nextCheck time.Time
 	retries                      int
 	attempt                      *routing.Attempt
+	scheduler                    *routing.Scheduler
+	engine                       *simEngine
 	pendingPrefill, tokens       int
 	firstEvent, lastEvent        time.Time
 	longestGap                   time.Duration
@@ -74,6 +76,9 @@
 	lru        *list.List
 	usedTokens int
 	down       bool
+	// slowness is how many times longer than usual steps take at a time since the start, and
+	// stated what the engine states of it in its responses; nil means as usual and nothing.
+	slowness, stated func(elapsed time.Duration) float64
 }
 
 type simSegment struct {
@@ -236,6 +241,7 @@
 	}
 	r.attempt = s.schedulers[gateway].StartAttempt(s.now, &r.job, servers[c.Index].ID, c)
 	e := up[c.Index]
+	r.scheduler, r.engine = s.schedulers[gateway], e
 	r.pendingPrefill = s.admit(e, r)
 	e.waiting = append(e.waiting, r)
 	slices.SortStableFunc(e.waiting, func(a, b *simRequest) int { return a.route.rank - b.route.rank })
@@ -307,6 +313,9 @@
 			chunk -= n
 		}
 		tookMs := 3.09 + 0.0165*float64(len(e.running)) + float64(simChunkTokens-chunk)/61.8
+		if e.slowness != nil {
+			tookMs *= e.slowness(e.nextStep.Sub(simEpoch))
+		}
 		e.nextStep = e.nextStep.Add(time.Duration(tookMs * float64(time.Millisecond)))
 		e.running = slices.DeleteFunc(e.running, func(r *simRequest) bool { return r.pendingPrefill == 0 && r.generate(e.nextStep) })
 	}
@@ -317,8 +326,12 @@
 	if r.tokens++; r.tokens%simEventTokens == 1 {
 		if r.firstEvent.IsZero() {
 			r.firstEvent = now
+			if r.engine.stated != nil {
+				r.scheduler.ReportSlowness(now, r.engine.id, r.engine.stated(now.Sub(simEpoch)))
+			}
 			r.attempt.FirstEvent(now)
 		} else {
+			r.attempt.Events(now, 1)
 			r.longestGap = max(r.longestGap, now.Sub(r.lastEvent))
 		}
 		r.lastEvent = now
