Read the speed of a candidate next to its other load

Each choice read the speed of each candidate from fields far from the others, and divided the prefill rate by a factor of 1. A flag next to the load tells whether the speed may have an effect.

--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -84,6 +84,7 @@
 		st := s.state(servers[i].ID)
 		st.candidates, st.index = c, i
 		st.speed.reset(servers[i].StartedAtMs)
+		st.updateSpeedDiffers()
 		c.entries[i] = candidate{serverState: st, idHash: xxhash.Sum64String(servers[i].ID), version: version, local: servers[i].DataCentre == s.dataCentre}
 		c.ranked[i] = i
 	}
--- a/routing/hint.go
+++ b/routing/hint.go
@@ -174,6 +174,7 @@
 		}
 		st.addResidual(now, h.ResidualTokens)
 		st.speed.apply(now, h.Speed)
+		st.updateSpeedDiffers()
 	}
 }
 
--- a/routing/scheduler.go
+++ b/routing/scheduler.go
@@ -406,9 +406,12 @@
 func (s *Scheduler) estimate(now time.Time, j *Job, service *serviceState, st *candidate, server *Server, assumeFirstCached, latencySensitive bool, p *placement) Choice {
 	l := st.load(now)
 	c := Choice{}
-	timeFactor := st.speed.timeFactor(now)
+	timeFactor := st.timeFactor(now)
 	if j.Generates {
-		prefillRate := service.prefillRate / timeFactor
+		prefillRate := service.prefillRate
+		if timeFactor != 1 {
+			prefillRate /= timeFactor
+		}
 		match := s.matchOf(st.serverState, j)
 		c.UncachedTokens = match.uncached
 		prefill := match.uncached
@@ -430,7 +433,10 @@
 		limit := maxPendingPrefill * (1 - rankReserve*float64(j.Rank))
 		c.Full = overflow > 0 || (float64(l.pendingPrefill)+p.contenders*st.recentTokensNow(now))/prefillRate > limit
 		c.Wait += cacheOverflowWeight * overflow / prefillRate
-		c.Penalty += interference(l, latencySensitive, c.ServiceTime, prefillRate) + longPausePenalty(j, p.usualPause, timeFactor)
+		c.Penalty += interference(l, latencySensitive, c.ServiceTime, prefillRate)
+		if timeFactor > 1 && p.usualPause > 0 {
+			c.Penalty += longPausePenalty(j, p.usualPause, timeFactor)
+		}
 	} else {
 		serviceTime := service.meanServiceTime(j.Route) * max(st.slowdownNow(now), timeFactor)
 		slots := float64(max(1, server.Slots))
--- a/routing/server.go
+++ b/routing/server.go
@@ -38,6 +38,9 @@
 	pendingPrefill int
 	// latencySensitive counts the latency-sensitive streams among them.
 	latencySensitive int
+	// speedDiffers reports whether speed may have an effect. It is read for each candidate of a
+	// choice and stands next to other fields that are.
+	speedDiffers bool
 
 	// recentTokens is the number of uncached prompt tokens that this gateway sent,
 	// with exponential decay, as of recentTokensAt.
--- a/routing/speed.go
+++ b/routing/speed.go
@@ -158,6 +158,19 @@
 	return math.Exp(sp.slowness + max(0, sp.statedNow(now)-sp.overstated))
 }
 
+// updateSpeedDiffers updates speedDiffers after a change of the speed.
+func (st *serverState) updateSpeedDiffers() {
+	st.speedDiffers = st.speed.stated != 0 || st.speed.class != usualServer
+}
+
+// timeFactor returns how many times longer than at a usual server work takes now.
+func (st *serverState) timeFactor(now time.Time) float64 {
+	if !st.speedDiffers {
+		return 1
+	}
+	return st.speed.timeFactor(now)
+}
+
 // record adds observations.
 func (sp *serverSpeed) record(now time.Time, o speedSums) {
 	sp.observed.scale(decayFactor(now.Sub(sp.observedAt), speedHalfLife))
@@ -230,6 +243,10 @@
 	c.slownesses = c.slownesses[:0]
 	for i := range c.entries {
 		sp := &c.entries[i].speed
+		if now.Sub(sp.statedAt) >= slownessTTL && !sp.statedUnsent {
+			sp.stated = 0
+		}
+		c.entries[i].updateSpeedDiffers()
 		if sp.observed.weight*decayFactor(now.Sub(sp.observedAt), speedHalfLife) >= minSpeedWeight {
 			mean, _ := sp.mean()
 			c.slownesses = append(c.slownesses, mean)
@@ -243,6 +260,7 @@
 	changed := false
 	for i := range c.entries {
 		changed = c.entries[i].speed.compare(now, median) || changed
+		c.entries[i].updateSpeedDiffers()
 	}
 	if changed {
 		c.rankForPool()
@@ -370,9 +388,6 @@
 // milliseconds, where work takes timeFactor times as long: it grows as the longest pause, which is
 // usualPause milliseconds elsewhere, comes near the target.
 func longPausePenalty(j *Job, usualPause, timeFactor float64) float64 {
-	if timeFactor <= 1 || usualPause == 0 || j.MaxEventGap == 0 {
-		return 0
-	}
 	risk := func(pause float64) float64 {
 		return max(0, min(1, 2*pause/milliseconds(j.MaxEventGap)-1))
 	}
@@ -410,11 +425,12 @@
 	defer s.mu.Unlock()
 	st := s.state(server)
 	if stated == 0 && st.speed.statedNow(now) == 0 {
-		st.speed.stated = 0
 		return
 	}
 	st.speed.statedUnsent = true
-	if st.speed.state(now, now, stated) {
+	urgent := st.speed.state(now, now, stated)
+	st.updateSpeedDiffers()
+	if urgent {
 		st.speed.statedUrgent = true
 		s.notifyIfUrgent(st)
 	}
--- a/routing/speed_test.go
+++ b/routing/speed_test.go
@@ -30,7 +30,7 @@
 	} {
 		s := newTestScheduler("dc-0")
 		s.ReportSlowness(epoch, "engine-0", test.slowness)
-		if got := s.state("engine-0").speed.timeFactor(epoch.Add(test.age)); math.Abs(got-test.want) > 1e-9 {
+		if got := s.state("engine-0").timeFactor(epoch.Add(test.age)); math.Abs(got-test.want) > 1e-9 {
 			t.Errorf("%s: work takes %v times as long, want %v", test.name, got, test.want)
 		}
 	}
@@ -52,7 +52,7 @@
 		again[0].StartedAtMs = 1
 		end(s, again)
 		choose(t, s, epoch, question(), again)
-		if got := s.state("engine-0").speed.timeFactor(epoch); got != 1 {
+		if got := s.state("engine-0").timeFactor(epoch); got != 1 {
 			t.Errorf("%s: work takes %v times as long, want 1", name, got)
 		}
 	}
@@ -104,7 +104,7 @@
 			if isSlow && fleet.entries[i].poolRank != len(servers)-1 {
 				t.Errorf("%s: the slow engine has rank %d for the pool, want the last", name, fleet.entries[i].poolRank)
 			}
-			if got := fleet.entries[i].speed.timeFactor(epoch); math.Abs(got-1) > 1e-9 != isSlow {
+			if got := fleet.entries[i].timeFactor(epoch); math.Abs(got-1) > 1e-9 != isSlow {
 				t.Errorf("%s: work takes %v times as long at %s, slow is %v", name, got, servers[i].ID, isSlow)
 			}
 		}
@@ -135,7 +135,7 @@
 		observeSpeeds(s, servers[1:], nil)
 		s.ApplyHints(epoch, epoch.Add(time.Second), "gateway-1", []Hint{{Server: servers[0].ID, Speed: &test.hint}})
 		choose(t, s, epoch.Add(speedInterval), question(), servers)
-		if got := s.state(servers[0].ID).speed.timeFactor(epoch); math.Abs(got-test.want) > 1e-6 {
+		if got := s.state(servers[0].ID).timeFactor(epoch); math.Abs(got-test.want) > 1e-6 {
 			t.Errorf("%s: work takes %v times as long, want %v", test.name, got, test.want)
 		}
 	}
