Test that a false statement of slowness is corrected

TestSlowEngines passes without the correction of overstated slowness, so it does not guard it. The new test fails without it. go test ./routing passes.

--- a/routing/speed_test.go
+++ b/routing/speed_test.go
@@ -140,3 +140,22 @@
 		}
 	}
 }
+
+// TestFalseStatementIsCorrected guards against a server that states to be slow and is not: it
+// must count as usual while it states so, and not as a fast one afterwards.
+func TestFalseStatementIsCorrected(t *testing.T) {
+	s, servers := newTestScheduler("dc-0"), nineEngines()
+	choose(t, s, epoch, question(), servers)
+	observeSpeeds(s, servers[1:], nil)
+	st, stated := s.state(servers[0].ID), math.Log(2.5)
+	for range 30 {
+		st.speed.observe(epoch, 1, 0, stated, stated)
+	}
+	s.ReportSlowness(epoch, servers[0].ID, 2.5)
+	choose(t, s, epoch.Add(speedInterval), question(), servers)
+	for _, at := range []time.Duration{0, slownessTTL} {
+		if got := st.timeFactor(epoch.Add(at)); math.Abs(got-1) > 1e-6 {
+			t.Errorf("%v after the statement work takes %v times as long, want 1", at, got)
+		}
+	}
+}
