Keep where streams began on the VMs of backend servers, and read which versions have left

Cause: the records of where streams began live in gateways only, and all gateways restart at the same time. Then streams were refused while several versions serve, and joined from two versions when the last servers of one had left: that the servers which are left have run for long shows nothing about those that have gone. Change: sesame-origin-holder on the VMs of model engines gets each report besides three gateways and is asked at a take-up; gateways inform holders that join. SoleVersion no longer concludes from the age of servers; a gateway that has just started reads the versions of removed servers in the store's history, and does not know where that is too short or compacted. The span includes the drain period, in which a gateway that has not learnt of a removal lets streams begin. The encoding of entries moves from gateway to origin, as holders share it.

--- a/cmd/sesame-gateway/main.go
+++ b/cmd/sesame-gateway/main.go
@@ -27,6 +27,7 @@
 	LogLines      int    `default:"2048" validate:"min=16,max=1000000" help:"Log lines buffered while standard output is slow; further ones are dropped and counted."`
 	LogLevel      string `default:"info" validate:"oneof=debug info warning error" help:"Lowest level of log lines that are written: debug, info, warning or error."`
 	Policy        string `default:"sesame" validate:"oneof=sesame least" help:"Policy for the choice of backend servers: sesame uses the estimated cost; least uses the fewest requests in flight, as a baseline for experiments."`
+	OriginHolders bool   `help:"Report where streams began to the programs sesame-origin-holder on the VMs of model engines, and ask these."`
 	settings.Printing
 }
 
@@ -67,7 +68,7 @@
 		Codec:        platform.Codec{},
 		NewStore:     func(address func() string) gateway.Store { return platform.NewStore(address) },
 		ReadSettings: file.Read,
-	}, gateway.Options{MetricsAddress: f.MetricsListen, Policy: routing.Policy(f.Policy), Seed: uint64(time.Now().UnixNano())}, log) //nolint:gosec // any value is a valid seed
+	}, gateway.Options{MetricsAddress: f.MetricsListen, Policy: routing.Policy(f.Policy), OriginHolders: f.OriginHolders, Seed: uint64(time.Now().UnixNano())}, log) //nolint:gosec // any value is a valid seed
 	if err != nil {
 		return eris.Wrap(err, "start")
 	}
--- a/directory/versions.go
+++ b/directory/versions.go
@@ -1,6 +1,10 @@
 package directory
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // versionHold is how long the version of an entry that was replaced or removed is
 // remembered. It bounds the span of SoleVersion.
@@ -11,8 +15,9 @@
 	// lastListed holds when an entry with a version was last replaced or removed, by service
 	// and version.
 	lastListed map[string]map[string]time.Time
-	// completeSince is the time of the last complete listing: what came and went before it may
-	// be missing. It is zero before the first listing.
+	// completeSince is the time of the last complete listing, or when the applied history of the
+	// store began: what came and went before it may be missing. It is zero before the first
+	// listing.
 	completeSince time.Time
 }
 
@@ -65,19 +70,11 @@
 	SeveralVersions
 )
 
-// startMargin is how much longer than the span servers must have run for a directory that does
-// not cover it. It covers the time for which a server that is replaced still gets requests after
-// its successor has started, and jumps of the time of day.
-const startMargin = 10 * time.Second
-
 // SoleVersion returns whether all servers of the service that were listed during the span
-// before now, also draining ones, had the same software version, and which one. wallClock is
-// the time of day.
-//
-// A directory that was listed later than the span began does not know who left before. It then
-// answers only if all servers have run for longer: a version that was replaced during the span
-// would have a successor that started in it.
-func (d *Directory) SoleVersion(now time.Time, service string, span time.Duration, wallClock time.Time) (string, Versions) {
+// before now, also draining ones, had the same software version, and which one. It does not
+// know for a span that reaches beyond the first listing and the history that was applied: the
+// servers that are left show nothing about those that have been removed.
+func (d *Directory) SoleVersion(now time.Time, service string, span time.Duration) (string, Versions) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	sole, found := "", false
@@ -87,25 +84,69 @@
 		}
 		return version != sole || version == ""
 	}
-	allOld := true
-	startedBefore := wallClock.Add(-span - startMargin).UnixMilli()
 	for _, r := range d.records {
-		if r.server == nil || r.server.Service != service {
-			continue
-		}
-		if differs(r.server.SoftwareVersion) {
+		if r.server != nil && r.server.Service == service && differs(r.server.SoftwareVersion) {
 			return "", SeveralVersions
 		}
-		allOld = allOld && r.server.StartedAtMs > 0 && r.server.StartedAtMs < startedBefore
 	}
 	for version, at := range d.versions.lastListed[service] {
 		if now.Sub(at) <= span && differs(version) {
 			return "", SeveralVersions
 		}
 	}
-	covered := now.Sub(d.versions.completeSince) >= span && span <= versionHold || allOld
+	covered := now.Sub(d.versions.completeSince) >= span && span <= versionHold
 	if !found || d.versions.completeSince.IsZero() || !covered {
 		return "", VersionsUnknown
 	}
 	return sole, OneVersion
 }
+
+// shortestHeartbeatShare is the share of the stated heartbeat interval that an interval between
+// two writes of an entry lasts at least.
+const shortestHeartbeatShare = 0.9
+
+// HistoryDepth returns how many revisions of the store before the newest one a history needs
+// at least to cover the span, if each server writes its entry once in a heartbeat interval.
+func (d *Directory) HistoryDepth(span, heartbeat time.Duration) uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	writes := math.Ceil(span.Seconds()/(shortestHeartbeatShare*heartbeat.Seconds())) + 2
+	return uint64(writes) * uint64(len(d.records))
+}
+
+// ApplyHistory applies all changes of the store from an earlier revision up to at least the
+// directory's, in their order, to the software versions that have served; now is when they were
+// read. Nothing else changes. The changes have no times: the history reaches back as far as
+// half of the servers have written their entries. It returns how far that is, which is zero
+// if a server was removed whose version the history does not show.
+func (d *Directory) ApplyHistory(now time.Time, changes []Change, heartbeat time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	writes := make(map[string]int)
+	for i := range changes {
+		c := &changes[i]
+		if c.Removed && writes[c.ID] == 0 {
+			return 0
+		}
+		if !c.Removed {
+			writes[c.ID]++
+			d.versions.ended(now, c.Server)
+		}
+	}
+	var counts []int
+	for id, r := range d.records {
+		if r.server != nil {
+			counts = append(counts, writes[id])
+		}
+	}
+	if len(counts) == 0 || d.versions.completeSince.IsZero() {
+		return 0
+	}
+	slices.Sort(counts)
+	intervals := max(counts[(len(counts)-1)/2]-1, 0)
+	covered := time.Duration(float64(intervals) * shortestHeartbeatShare * float64(heartbeat))
+	if since := now.Add(-covered); since.Before(d.versions.completeSince) {
+		d.versions.completeSince = since
+	}
+	return covered
+}
--- a/gateway/crashreports.go
+++ b/gateway/crashreports.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sesameswitch/sesameswitch/clock"
+	"github.com/sesameswitch/sesameswitch/origin"
 	"github.com/sesameswitch/sesameswitch/quarantine"
 )
 
@@ -227,10 +228,10 @@
 // isReportEntry reports whether an entry of peerMessage.Known reports something about
 // backend servers or streams.
 func isReportEntry(entry string) bool {
-	for _, mark := range []string{limitMark, speedMark, evacuationMark, crashMark, beganMark, soundMark, ruleMark, liftMark, trialMark, originMark, originAskMark, originSoleMark, originUnknownMark, tokenAskMark, tokenLendMark} {
+	for _, mark := range []string{limitMark, speedMark, evacuationMark, crashMark, beganMark, soundMark, ruleMark, liftMark, trialMark, tokenAskMark, tokenLendMark} {
 		if strings.HasPrefix(entry, mark) {
 			return true
 		}
 	}
-	return false
+	return origin.IsEntry(entry)
 }
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -5,8 +5,10 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -73,6 +75,9 @@
 	// Policy determines how backend servers are chosen; the empty policy
 	// chooses by estimated cost.
 	Policy routing.Policy
+	// OriginHolders states that origin holders run on the VMs of model engines, at the port of
+	// the settings.
+	OriginHolders bool
 	// Elapsed is the clock by which the View measures ages; nil means the boot
 	// clock. Tests replace it.
 	Elapsed clock.Elapsed
@@ -119,6 +124,7 @@
 	store := p.NewStore(func() string { return d.settings.Load().StoreAddress })
 	maxConfigDelay := func() time.Duration { return d.settings.Load().Bounds.MaxConfigDelay }
 	d.view = NewView(store, d.directory, elapsed, maxConfigDelay, d.log, scheduler.RemoveServer, func(t *routes.Table) { scheduler.SetEventGapTargets(eventGapTargets(t)) })
+	d.view.Heartbeat = func() time.Duration { return d.settings.Load().HeartbeatInterval }
 	storeEra := d.metrics.Gauge("sesame_gateway_store_era")
 	d.view.OnEra = func(era storeera.Era, verdict storeera.Verdict) {
 		if verdict == storeera.Newer {
@@ -156,12 +162,34 @@
 		Clock: monotonic, Elapsed: elapsed, Metrics: d.metrics, Log: d.log, Settings: d.settings.Load, Seed: o.Seed,
 	})
 	d.peers.Limits, d.peers.Crashes, d.peers.Origins, d.peers.Evacuations, d.peers.Tokens = d.server, d.server, d.server, d.view, d.server
+	if o.OriginHolders {
+		d.peers.OriginHolderAddresses = d.originHolderAddresses
+	}
 	d.ingress = ingress.New(ingress.Config{
 		Handle: d.handle, Limits: d.limits, CloseAfterResponse: d.closeAfterResponse, OnRefusal: d.onIngressRefusal,
 	})
 	return d, nil
 }
 
+// originHolderAddresses returns the addresses of the origin holders, one on the VM of each
+// usable model engine, sorted.
+func (d *Daemon) originHolderAddresses() []string {
+	table, port := d.view.Table(), d.settings.Load().HolderPort
+	if table == nil || port == 0 {
+		return nil
+	}
+	var addresses []string
+	for _, name := range table.Engines() {
+		for _, b := range d.directory.Usable(name) {
+			if at, err := netip.ParseAddrPort(b.Address); err == nil { // checked when the entry was read
+				addresses = append(addresses, netip.AddrPortFrom(at.Addr(), uint16(port)).String()) //nolint:gosec // a port of the settings
+			}
+		}
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
 // closeAfterResponse reports whether responses ask callers to close their
 // connections.
 func (d *Daemon) closeAfterResponse() bool {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/deployment"
+	"github.com/sesameswitch/sesameswitch/originholder"
 	"github.com/sesameswitch/sesameswitch/routing"
 )
 
@@ -178,8 +180,11 @@
 	Crashes CrashExchange
 	// Origins, if set before Run, exchanges where streams began, Evacuations which data centres
 	// are evacuated.
-	Origins     OriginExchange
-	Evacuations EvacuationExchange
+	Origins OriginExchange
+	// OriginHolderAddresses, if set before Run, returns the addresses of the processes beside
+	// backend servers that hold where streams began, sorted.
+	OriginHolderAddresses func() []string
+	Evacuations           EvacuationExchange
 	// Tokens, if set before Run, lends and borrows tokens of cold servers.
 	Tokens TokenExchange
 	// conn is nil until Run listens.
@@ -359,7 +364,9 @@
 			p.log.WithError(err).WithField("event", "hello_unreadable").Debug("undecodable message of a peer gateway ignored")
 			continue
 		}
-		p.handleMessage(message)
+		if !slices.Contains(message.Known, originholder.Mark) {
+			p.handleMessage(message)
+		}
 		p.applyOriginEntries(conn, p.clock.Now(), message)
 		p.applyTokenEntries(conn, message)
 		p.relay(conn, message)
--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -147,8 +147,11 @@
 		return nil
 	}
 	start := s.deps.Clock.Now()
-	q := origin.Question{Key: req.streamKey(), Service: req.service.Name, Span: req.streamLife()}
+	q := origin.Question{Key: req.streamKey(), Service: req.service.Name, Span: s.versionSpan(req)}
 	answers := []origin.Answer{s.AnswerOrigin(start, q)}
+	if answers[0].Kind == origin.Unknown && s.deps.View.LearnVersions(ctx, q.Service, q.Span) {
+		answers[0] = s.AnswerOrigin(s.deps.Clock.Now(), q)
+	}
 	if answers[0].Kind != origin.Recorded {
 		answers = append(answers, s.askOrigin(ctx, q)...)
 	}
@@ -203,6 +206,13 @@
 	return defaultTimeout
 }
 
+// versionSpan returns for how long one version alone must have served for a stream of the
+// request's route to have begun at it: a gateway that has not learnt yet that a server has left
+// lets streams begin there.
+func (s *Server) versionSpan(req *request) time.Duration {
+	return req.streamLife() + s.deps.Settings().Bounds.DrainPeriod
+}
+
 // named reports whether the stream of the request has a key of its own: it is new, or its caller
 // names the request that began it.
 func (req *request) named() bool { return req.ResumeAfter == 0 || req.Resumes != "" }
@@ -222,6 +232,9 @@
 // OriginsChanged implements OriginExchange.
 func (s *Server) OriginsChanged() <-chan struct{} { return s.origins.Changed() }
 
+// OwnOriginReports implements OriginExchange.
+func (s *Server) OwnOriginReports(now time.Time) []origin.Report { return s.origins.OwnReports(now) }
+
 // TakeOriginReports implements OriginExchange.
 func (s *Server) TakeOriginReports() []origin.Report { return s.origins.TakeReports() }
 
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -66,8 +66,11 @@
 	// maxConfigDelay returns the time within which a configuration must be applied;
 	// zero means that there is no limit to save calls for.
 	maxConfigDelay func() time.Duration
-	log            *logrus.Entry
-	table          atomic.Pointer[routes.Table]
+	// Heartbeat, if set before Run, returns the interval in which backend servers write their
+	// registry entries; zero if it is not known.
+	Heartbeat func() time.Duration
+	log       *logrus.Entry
+	table     atomic.Pointer[routes.Table]
 	// confirmedAt is when the active configuration was last known to be the
 	// newest, in nanoseconds of the clock elapsed; zero if never.
 	confirmedAt atomic.Int64
@@ -92,6 +95,11 @@
 	relisted chan struct{}
 	// refreshes lets concurrent calls of Refresh share one read of the store.
 	refreshes singleflight.Group
+	// histories lets concurrent calls of LearnVersions share one read of the store's history.
+	histories singleflight.Group
+	// historyReadAt is when the history was last asked for, in nanoseconds of the clock
+	// elapsed; zero if never.
+	historyReadAt atomic.Int64
 	// refreshFailedAt is when a refresh last failed, in nanoseconds of the clock
 	// elapsed; zero if never.
 	refreshFailedAt atomic.Int64
@@ -130,7 +138,7 @@
 // SoleVersion returns whether all servers of the service had the same software version
 // during the span before now, and which one. It does not know if the view is old.
 func (v *View) SoleVersion(service string, span time.Duration) (string, directory.Versions) {
-	version, versions := v.directory.SoleVersion(time.Unix(0, int64(v.elapsed())), service, span, time.Now())
+	version, versions := v.directory.SoleVersion(time.Unix(0, int64(v.elapsed())), service, span)
 	if versions == directory.OneVersion && v.Age() > maxVersionsViewAge {
 		return "", directory.VersionsUnknown
 	}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -9,7 +9,10 @@
 // that a gateway recorded for the stream: if two were recorded, the origin counts as unknown.
 // Records of one client account neither replace nor answer for those of another, and one
 // account uses at most a part of the Register. After a restart a Register is empty, and a
-// record that was not told may be missing.
+// record that did not reach another process may be missing.
+//
+// Gateways report each stream to other gateways and to holders, small processes on the VMs of
+// backend servers (package originholder), so that records outlive a restart of all gateways.
 package origin
 
 import (
@@ -82,7 +85,9 @@
 	origin Origin
 	// conflicting reports whether another origin was recorded, too.
 	conflicting bool
-	expires     time.Time
+	// own reports whether this process recorded it with Began.
+	own     bool
+	expires time.Time
 	// inAll and inAccount are its places in the lists of the Register.
 	inAll, inAccount *list.Element
 }
@@ -111,6 +116,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.record(now, report)
+	if known := r.records[report.Key]; known != nil {
+		known.own = true
+	}
 	if len(r.fresh) >= maxUntold {
 		return // another gateway may have to refuse the stream
 	}
@@ -200,6 +208,20 @@
 	return known.origin, true
 }
 
+// OwnReports returns the records of Began that have not expired, to inform gateways and holders
+// that were not there when the streams began.
+func (r *Register) OwnReports(now time.Time) []Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var reports []Report
+	for _, known := range r.records {
+		if known.own && !known.conflicting && now.Before(known.expires) {
+			reports = append(reports, Report{Key: known.key, Origin: known.origin, Keep: known.expires.Sub(now)})
+		}
+	}
+	return reports
+}
+
 // Len returns the number of records.
 func (r *Register) Len() int {
 	r.mu.Lock()
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -254,6 +254,17 @@
 	return nil
 }
 
+// Engines returns the names of the services that are model engines, in no order.
+func (t *Table) Engines() []string {
+	var names []string
+	for name, service := range t.services {
+		if service.Engine != nil {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Service returns the service with the name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
