--- a/originholder/holder_test.go
+++ b/originholder/holder_test.go
@@ -235,7 +235,9 @@
 	}
 	known, unknown := origin.KeyOf("acme", "a"), origin.KeyOf("acme", "b")
 	report := origin.EncodeReports([]origin.Report{{Key: known, Origin: origin.Origin{Service: service, SoftwareVersion: "v1"}, Keep: keep}})
-	question := func(key origin.Key) string { return origin.EncodeQuestion(origin.Question{Key: key, Service: service, Span: streamSpan}) }
+	question := func(key origin.Key) string {
+		return origin.EncodeQuestion(origin.Question{Key: key, Service: service, Span: streamSpan})
+	}
 	send := func(from string, entries ...string) {
 		content, err := msgpack.Marshal(&Message{From: from, Known: entries})
 		if err != nil {
