Do not use servers whose address another one has taken over

In the second after the gateways are back, 43 of 64 attempts get status 421, and 44 requests are refused as the retry budget of a gateway that has just started is small. Change: the directory does not use an entry once another server has written one for the same address that is newer, with a later start, until the former is written again.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -9,7 +9,9 @@
 // an outage of the store stays usable until LeaseExpiryGrace after the store's
 // recovery. After a restore of the store from an older copy the same holds for entries
 // that the copy lacks, and an incarnation that was removed before does not become usable
-// because the copy still has its entry. No server of an evacuated data centre is usable from
+// because the copy still has its entry. A server is not usable once another one has started at its
+// address and has written its entry: all servers of a data centre that lost power are listed
+// twice for seconds. No server of an evacuated data centre is usable from
 // the change or listing that reports the evacuation until one that reports its end.
 package directory
 
@@ -83,6 +85,9 @@
 	versionStartedAtMs int64
 	// writtenAt is when the newest version of the entry was applied.
 	writtenAt time.Time
+	// superseded reports whether another server has taken the address over since the entry was
+	// last written.
+	superseded bool
 	// coldUntil is until when the server is cold according to its entry.
 	coldUntil time.Time
 	// draining reports whether the incarnation that started at drainingStartedAtMs
@@ -123,6 +128,8 @@
 type Directory struct {
 	mu      sync.RWMutex
 	records map[string]*record
+	// byAddress holds, for each address, the entry of the server that took it over last.
+	byAddress map[string]*record
 	// byService holds the usable backend servers by service. It is rebuilt
 	// after each change; its slices are immutable.
 	byService map[string][]*BackendServer
@@ -143,7 +150,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{records: make(map[string]*record), byService: make(map[string][]*BackendServer), removed: make(map[string]removedServer), versions: newVersionHistory(), evacuations: make(map[string]*evacuationState)}
+	return &Directory{records: make(map[string]*record), byAddress: make(map[string]*record), byService: make(map[string][]*BackendServer), removed: make(map[string]removedServer), versions: newVersionHistory(), evacuations: make(map[string]*evacuationState)}
 }
 
 // Revision returns the newest store revision that was applied.
@@ -278,7 +285,7 @@
 	if c.Removed {
 		return d.remove(now, c.ID, r, events)
 	}
-	r.leaseExpiredAt, r.writtenAt = time.Time{}, now
+	r.leaseExpiredAt, r.writtenAt, r.superseded = time.Time{}, now, false
 	d.versions.ended(now, r.server)
 	r.server = c.Server
 	if c.Server != nil {
@@ -291,6 +298,7 @@
 		}
 		r.draining, r.drainingStartedAtMs = r.server.Draining, c.Server.StartedAtMs
 		r.checkVersion()
+		d.recordAddress(r)
 	}
 	return append(events, Event{ID: c.ID, State: stateOf(r.server), Server: r.server})
 }
@@ -324,6 +332,9 @@
 // delete deletes an entry and remembers its incarnation.
 func (d *Directory) delete(now time.Time, id string, r *record, events []Event) []Event {
 	delete(d.records, id)
+	if r.server != nil && d.byAddress[r.server.Address] == r {
+		delete(d.byAddress, r.server.Address)
+	}
 	d.versions.ended(now, r.server)
 	if r.server != nil && len(d.removed) < maxRemoved {
 		d.removed[id] = removedServer{r.server.StartedAtMs, r.draining, now}
@@ -358,11 +369,32 @@
 	return events
 }
 
+// recordAddress notes which of two servers has an address. After a crash or a loss of power a
+// server may start again there under another ID, seconds before the lease of its former entry
+// expires: the server that started earlier and wrote its entry earlier must have ended.
+func (d *Directory) recordAddress(r *record) {
+	newest := d.byAddress[r.server.Address]
+	if newest != nil && newest != r && newest.server != nil && newest.server.Address == r.server.Address {
+		earlier, later := newest, r
+		if r.revision < newest.revision {
+			earlier, later = r, newest
+		}
+		earlier.superseded = earlier.server.StartedAtMs > 0 && earlier.server.StartedAtMs < later.server.StartedAtMs
+		r = later
+	}
+	d.byAddress[r.server.Address] = r
+}
+
+// usable reports whether new requests may be sent to the server of the entry.
+func (d *Directory) usable(r *record) bool {
+	return r.server != nil && !r.server.Draining && !r.superseded && !d.isEvacuated(r.server.DataCentre)
+}
+
 // rebuildIndex rebuilds byService, each list sorted by ID.
 func (d *Directory) rebuildIndex() {
 	byService := make(map[string][]*BackendServer, len(d.byService))
 	for _, r := range d.records {
-		if r.server != nil && !r.server.Draining && !d.isEvacuated(r.server.DataCentre) {
+		if d.usable(r) {
 			byService[r.server.Service] = append(byService[r.server.Service], r.server)
 		}
 	}
@@ -405,5 +437,5 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	r := d.records[s.ID]
-	return r != nil && r.server != nil && !r.server.Draining && !d.isEvacuated(r.server.DataCentre) && r.server.StartedAtMs == s.StartedAtMs && r.server.Address == s.Address
+	return r != nil && d.usable(r) && r.server.StartedAtMs == s.StartedAtMs && r.server.Address == s.Address
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -179,3 +180,39 @@
 		}
 	}
 }
+
+// TestSupersededServerIsNotUsable replays a loss of power of all servers, which start again at
+// their addresses under other IDs before the leases of their former entries expire. Requests to
+// a former entry would be refused by the server that listens there now.
+func TestSupersededServerIsNotUsable(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	entry := func(id, address string, revision uint64, startedAtMs int64) Change {
+		return Change{ID: id, Revision: revision, Server: &BackendServer{ID: id, Service: "llm", Address: address, StartedAtMs: startedAtMs}}
+	}
+	before := []Change{entry("a", "10.0.0.1:80", 1, 100), entry("b", "10.0.0.2:80", 2, 100)}
+	for _, test := range []struct {
+		name    string
+		changes []Change
+		want    []string
+	}{
+		{"started again", []Change{entry("c", "10.0.0.1:80", 3, 200)}, []string{"b", "c"}},
+		{"all started again", []Change{entry("c", "10.0.0.1:80", 3, 200), entry("d", "10.0.0.2:80", 4, 200)}, []string{"c", "d"}},
+		{"the new one leaves", []Change{entry("c", "10.0.0.1:80", 3, 200), {ID: "c", Revision: 4, Removed: true}}, []string{"b"}},
+		{"the former one still writes its entry", []Change{entry("c", "10.0.0.1:80", 3, 200), entry("a", "10.0.0.1:80", 4, 100)}, []string{"a", "b", "c"}},
+		{"the new one states an earlier start", []Change{entry("c", "10.0.0.1:80", 3, 50)}, []string{"a", "b", "c"}},
+		{"the new one states no start", []Change{entry("c", "10.0.0.1:80", 3, 0)}, []string{"a", "b", "c"}},
+		{"an entry that names no server", []Change{{ID: "x", Revision: 3}}, []string{"a", "b"}},
+	} {
+		d := New()
+		d.Replace(now, before, 2)
+		former := d.Usable("llm")[0]
+		d.Apply(now, test.changes, 4)
+		var got []string
+		for _, s := range d.Usable("llm") {
+			got = append(got, s.ID)
+		}
+		if !slices.Equal(got, test.want) || d.IsUsable(former) != slices.Contains(test.want, "a") {
+			t.Errorf("%s: usable %v, want %v; the former server is usable: %v", test.name, got, test.want, d.IsUsable(former))
+		}
+	}
+}
