Ask callers of a gateway that is cut off from the store to open new connections

Cause: connections stay with their gateway. Change: while another gateway can serve, the responses of one that cannot confirm its configuration ask callers to close the connection.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -192,10 +192,10 @@
 }
 
 // closeAfterResponse reports whether responses ask callers to close their
-// connections.
+// connections: the process stops, or other gateways can serve while this one cannot.
 func (d *Daemon) closeAfterResponse() bool {
 	state := d.lifecycle.state()
-	return state != stateStarting && state != stateServing
+	return state != stateStarting && state != stateServing || d.server.othersServe()
 }
 
 // handle serves a request, or refuses it if the process is about to stop.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -344,6 +344,10 @@
 	return s.deps.View.Table() == nil || !s.keysConfirmed() || s.deps.View.Unreachable()
 }
 
+// othersServe reports whether callers are better served by other gateways: this one cannot
+// confirm its configuration, and another one can. Open connections would stay here otherwise.
+func (s *Server) othersServe() bool { return s.unableToConfirm() && s.deps.Gateways.Others().Serve() }
+
 // newJob describes the request for the scheduler.
 func newJob(req *request) routing.Job {
 	j := routing.Job{Route: req.route.Name, Service: req.service.Name, LatencyTarget: req.route.LatencyTarget}
