--- a/cmd/sesamectl/main.go
+++ b/cmd/sesamectl/main.go
@@ -27,18 +27,19 @@
 type commands struct {
 	Output ctl.Format `short:"o" enum:"text,json" default:"text" help:"Format of the results: text or json."`
 
-	Check     ctl.Check         `cmd:"" help:"Validate manifests and print the path of each invalid field."`
-	Settings  ctl.CheckSettings `cmd:"" name:"check-settings" help:"Validate settings files of gateways and configurations of their platform."`
-	Diff      ctl.Diff          `cmd:"" help:"Show the changes from one manifest to another and their effects."`
-	Status    ctl.Status        `cmd:"" help:"Show state, configuration version and load of processes."`
-	Timeline  ctl.Timeline      `cmd:"" help:"Merge the events of processes, from the processes or from files, in order of time."`
-	Explain   ctl.Explain       `cmd:"" help:"Print the path of a request through all gateways, from their logs."`
-	Incident  ctl.Incident      `cmd:"" help:"Summarize a time window of gateway logs."`
-	Placement ctl.Placement     `cmd:"" help:"Print which gateways sent requests to a data centre, and why, from their logs."`
-	Charts    ctl.Charts        `cmd:"" help:"Print the state charts of the processes."`
-	Schema    ctl.Schema        `cmd:"" help:"Print the JSON Schema of the manifest."`
-	Load      load.Command      `cmd:"" help:"Run experiments against real processes and report the results."`
-	Overhead  load.Overhead     `cmd:"" help:"Measure the overhead of entry and agent on requests to an engine."`
+	Check      ctl.Check         `cmd:"" help:"Validate manifests and print the path of each invalid field."`
+	Settings   ctl.CheckSettings `cmd:"" name:"check-settings" help:"Validate settings files of gateways and configurations of their platform."`
+	Diff       ctl.Diff          `cmd:"" help:"Show the changes from one manifest to another and their effects."`
+	Status     ctl.Status        `cmd:"" help:"Show state, configuration version and load of processes."`
+	Timeline   ctl.Timeline      `cmd:"" help:"Merge the events of processes, from the processes or from files, in order of time."`
+	Explain    ctl.Explain       `cmd:"" help:"Print the path of a request through all gateways, from their logs."`
+	Incident   ctl.Incident      `cmd:"" help:"Summarize a time window of gateway logs."`
+	Placement  ctl.Placement     `cmd:"" help:"Print which gateways sent requests to a data centre, and why, from their logs."`
+	Attainment ctl.Attainment    `cmd:"" help:"Print for each time window how many requests were in time, late or without an answer, and why, from gateway logs."`
+	Charts     ctl.Charts        `cmd:"" help:"Print the state charts of the processes."`
+	Schema     ctl.Schema        `cmd:"" help:"Print the JSON Schema of the manifest."`
+	Load       load.Command      `cmd:"" help:"Run experiments against real processes and report the results."`
+	Overhead   load.Overhead     `cmd:"" help:"Measure the overhead of entry and agent on requests to an engine."`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print shell completion for the login shell."`
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -314,5 +314,6 @@
 	f.req.log.WithFields(logrus.Fields{
 		"event": "answer_completed", "status": f.status, "taken": accepted, "first_ms": f.firstByteAfter.Milliseconds(),
 		"after_ms": took.Milliseconds(), "pause_ms": f.longestGap.Milliseconds(), "route": f.req.route.Name, "events": f.events(), "sends": f.req.attempts,
+		"target_ms": f.req.route.LatencyTarget.Milliseconds(), "gap_target_ms": f.req.route.MaxEventGap.Milliseconds(),
 	}).Info("response completed")
 }
