--- a/agentapi/agentapi.go
+++ b/agentapi/agentapi.go
@@ -44,7 +44,7 @@
 	Models      []string
 	Services    []string
 	// SoftwareVersion is the version of the backend server's software; empty if the agent
-	// was not told.
+	// was not informed.
 	SoftwareVersion string
 	// ConfigVersion is the version of the agent's active configuration.
 	ConfigVersion uint64
--- a/cmd/sesame-origin-holder/main.go
+++ b/cmd/sesame-origin-holder/main.go
@@ -30,7 +30,7 @@
 }
 
 func run(f *flags) error {
-	runtime.GOMAXPROCS(1) // the VM belongs to the backend server
+	runtime.GOMAXPROCS(1)         // the VM belongs to the backend server
 	signal.Ignore(syscall.SIGHUP) // announces new settings, of which the holder uses none
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -182,7 +182,7 @@
 }
 
 // MarkLeaving records that an incarnation of a backend server has stated that it is
-// leaving: from then on it counts as draining, whatever its entry says, also if the
+// leaving: from then on it counts as draining, whatever its entry states, also if the
 // entry is removed and listed again. It returns false if that was known.
 func (d *Directory) MarkLeaving(now time.Time, s *BackendServer) (Event, bool) {
 	d.mu.Lock()
--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -73,7 +73,7 @@
 
 // ReplaceEvacuations applies a complete listing of the evacuated data centres that began at
 // the revision. An evacuation that the listing lacks has ended, unless it is newer than the
-// listing. If the store was restored from an older copy, revisions say nothing, and the
+// listing. If the store was restored from an older copy, revisions show nothing, and the
 // listing replaces all that was known.
 func (d *Directory) ReplaceEvacuations(now time.Time, listed []Evacuation, revision uint64, restored bool) []EvacuationEvent {
 	d.mu.Lock()
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -59,7 +59,7 @@
 
 // add records a broken connection; attempt is nil if its attempt had made progress. isNew
 // reports whether the server must be checked. If it is already known that the server has
-// crashed, crashedAt tells when.
+// crashed, crashedAt is when.
 func (w *crashWatch) add(now time.Time, server retry.Incarnation, attempt *brokenAttempt) (isNew bool, crashedAt time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -203,7 +203,7 @@
 }
 
 // finishQuarantined ends a request that must not be sent. If no backend server has run it,
-// its caller is told when one like it may be sent again.
+// its caller is informed when one like it may be sent again.
 func (s *Server) finishQuarantined(req *request, fwd *responseForwarder, d quarantine.Decision) {
 	s.metrics.quarantineRefusals.Inc(1)
 	hold := d.Until.Sub(s.deps.Clock.Now())
--- a/gateway/crashreports.go
+++ b/gateway/crashreports.go
@@ -30,7 +30,7 @@
 	// maxRepeatedReports limits the reports that each round of hellos repeats.
 	maxRepeatedReports = 24
 	// rulesRepeatedBy is how many gateways repeat rules in one round, so that each of these
-	// tells a part of the gateways, and a restarted one learns of them within a second.
+	// informs a part of the gateways, and a restarted one learns of them within a second.
 	rulesRepeatedBy = 16
 	// minCrashReportInterval is the least time between two messages with new reports.
 	minCrashReportInterval = 10 * time.Millisecond
--- a/gateway/doubt.go
+++ b/gateway/doubt.go
@@ -23,7 +23,7 @@
 )
 
 // doubts holds the incarnations of backend servers that refused connections: whatever listens
-// at their address now may be another software version than the registry says. A server that
+// at their address now may be another software version than the registry states. A server that
 // writes its entry again has not ended.
 type doubts struct {
 	mu sync.Mutex
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -84,7 +84,7 @@
 }
 
 // resumable reports whether a response of which a part was sent can be continued: it is an
-// event stream, and the ID of an event that was sent tells where.
+// event stream, and the ID of an event that was sent shows where.
 func (f *responseForwarder) resumable() bool {
 	return f.splitter != nil && f.splitter.LastID() > f.req.ResumeAfter
 }
@@ -251,7 +251,7 @@
 		case err != nil:
 			return resultMayHaveRun, err
 		case ctx.Err() != nil:
-			return resultMayHaveRun, ctx.Err() // failureResult tells the deadline from a caller that left
+			return resultMayHaveRun, ctx.Err() // failureResult distinguishes the deadline from a caller that left
 		}
 	}
 }
--- a/gateway/serverlimit.go
+++ b/gateway/serverlimit.go
@@ -32,7 +32,7 @@
 }
 
 // recordLimit records whether the response to an attempt states a limit of the backend
-// server. A response of unknown origin, or with an invalid limit, says nothing.
+// server. A response of unknown origin, or with an invalid limit, states nothing.
 func (s *Server) recordLimit(active *activeAttempt, info ResponseInfo) {
 	now, incarnation := s.deps.Clock.Now(), incarnationOf(active.server)
 	switch {
--- a/gateway/sharing.go
+++ b/gateway/sharing.go
@@ -31,7 +31,7 @@
 func countEntry(gateways int) string { return countMark + strconv.Itoa(gateways) }
 
 // gatewayCount returns how many gateways the sender knows that share limits with it,
-// itself included, without what others told it; zero if the message does not say so,
+// itself included, without what others reported to it; zero if the message does not state it,
 // or no positive number. It is at most maxSharing.
 func (m *peerMessage) gatewayCount() int {
 	for _, entry := range m.Known {
--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -198,8 +198,8 @@
 	return origin.KeyOf(account, req.ID)
 }
 
-// streamLife returns the longest time for which a stream of the request's route goes on.
-func (req *request) streamLife() time.Duration {
+// streamLifetime returns the longest time for which a stream of the request's route goes on.
+func (req *request) streamLifetime() time.Duration {
 	if req.route.Timeout > 0 {
 		return req.route.Timeout
 	}
@@ -210,14 +210,14 @@
 // request's route to have begun at it: a gateway that has not learnt yet that a server has left
 // lets streams begin there.
 func (s *Server) versionSpan(req *request) time.Duration {
-	return req.streamLife() + s.deps.Settings().Bounds.DrainPeriod
+	return req.streamLifetime() + s.deps.Settings().Bounds.DrainPeriod
 }
 
 // named reports whether the stream of the request has a key of its own: it is new, or its caller
 // names the request that began it.
 func (req *request) named() bool { return req.ResumeAfter == 0 || req.Resumes != "" }
 
-// recordOrigin records where the stream of the request began or goes on, and tells it other
+// recordOrigin records where the stream of the request began or goes on, and informs other
 // gateways, so that its caller can take it up there.
 func (s *Server) recordOrigin(req *request) {
 	if req.originRecorded || !req.named() || req.continuation.softwareVersion == "" || !req.route.Idempotent() {
@@ -225,7 +225,7 @@
 	}
 	req.originRecorded = true
 	s.origins.Began(s.deps.Clock.Now(), origin.Report{
-		Key: req.streamKey(), Origin: origin.Origin{Service: req.service.Name, SoftwareVersion: req.continuation.softwareVersion}, Keep: req.streamLife() + originMargin,
+		Key: req.streamKey(), Origin: origin.Origin{Service: req.service.Name, SoftwareVersion: req.continuation.softwareVersion}, Keep: req.streamLifetime() + originMargin,
 	})
 }
 
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -281,7 +281,7 @@
 // a listing follows.
 func (v *View) callStore(ctx context.Context) error {
 	select {
-	case <-v.eraChanged: // mustList tells what has to be done
+	case <-v.eraChanged: // mustList reports what has to be done
 	default:
 	}
 	if v.mustList() {
--- a/limit/server.go
+++ b/limit/server.go
@@ -60,7 +60,7 @@
 	Starting bool
 }
 
-// Allowance tells when a gateway may send the next request to a server.
+// Allowance states when a gateway may send the next request to a server.
 type Allowance struct {
 	// Limited reports whether the server has a limit; if it has none, the other fields
 	// are zero.
@@ -128,7 +128,7 @@
 	learntAt, ownAt time.Time
 	// without counts the responses since then that stated none.
 	without int
-	// heardAt is when a response last told whether there is a limit, or a request was
+	// heardAt is when a response last stated whether there is a limit, or a request was
 	// sent to find out.
 	heardAt time.Time
 	// tokens is the number of requests that may be sent, as of tokensAt.
@@ -321,7 +321,7 @@
 		if holders, _ := divide(s.rate, share.Gateways); share.Position < holders {
 			s.tokens--
 		}
-		s.heardAt = now // a further request of this gateway would tell nothing more
+		s.heardAt = now // a further request of this gateway would show nothing more
 	}
 	return true
 }
--- a/origin/answer.go
+++ b/origin/answer.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Question asks where a stream began that a caller takes up at a route to the service. Span
-// is the longest life of such a stream.
+// is the longest lifetime of such a stream.
 type Question struct {
 	Key     Key
 	Service string
@@ -18,7 +18,7 @@
 	Origin Origin
 }
 
-// AnswerKind is what an Answer says.
+// AnswerKind is the kind of an Answer.
 type AnswerKind int
 
 // Kinds of answers. Unknown: the gateway has no record, and does not know which versions have
--- a/origin/entries.go
+++ b/origin/entries.go
@@ -16,7 +16,7 @@
 // sender knows of the service, and that it knows none or several.
 //
 // earlierSoleMark begins an answer of earlier gateways. They conclude that one version has
-// served also from servers that have all run for long, which says nothing about those that
+// served also from servers that have all run for long, which shows nothing about those that
 // have left; their answer is ignored.
 const (
 	reportMark      = "@origin="
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -28,8 +28,8 @@
 	maxRecords = 1 << 15
 	// maxAccountRecords bounds those of one client account.
 	maxAccountRecords = maxRecords / 4
-	// maxUntold bounds the records that wait to be told.
-	maxUntold = 1 << 12
+	// maxPendingReports bounds the reports that wait to be sent.
+	maxPendingReports = 1 << 12
 	// MaxKeep bounds how long a record is kept.
 	MaxKeep = 15 * time.Minute
 )
@@ -72,7 +72,7 @@
 	SoftwareVersion string
 }
 
-// Report tells other gateways where a stream began. Keep is how long it may be taken up.
+// Report informs other gateways of where a stream began. Keep is how long it may be taken up.
 type Report struct {
 	Key    Key
 	Origin Origin
@@ -100,8 +100,8 @@
 	// each client account.
 	all       *list.List
 	byAccount map[[accountBytes]byte]*list.List
-	// fresh holds the reports that were not told yet.
-	fresh   []Report
+	// pending holds the reports that were not sent yet.
+	pending []Report
 	changed chan struct{}
 }
 
@@ -111,7 +111,7 @@
 }
 
 // Began records where a stream began, or that it goes on there, and that other gateways must
-// be told. The record is kept for the given time, at most MaxKeep.
+// be informed. The record is kept for the given time, at most MaxKeep.
 func (r *Register) Began(now time.Time, report Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -119,10 +119,10 @@
 	if known := r.records[report.Key]; known != nil {
 		known.own = true
 	}
-	if len(r.fresh) >= maxUntold {
+	if len(r.pending) >= maxPendingReports {
 		return // another gateway may have to refuse the stream
 	}
-	r.fresh = append(r.fresh, report)
+	r.pending = append(r.pending, report)
 	select {
 	case r.changed <- struct{}{}:
 	default: // a notification is pending
@@ -229,15 +229,15 @@
 	return len(r.records)
 }
 
-// Changed returns a channel that gets a value when there is something to tell.
+// Changed returns a channel that gets a value when there are reports to send.
 func (r *Register) Changed() <-chan struct{} { return r.changed }
 
-// TakeReports returns the reports that other gateways must be told. Several gateways are told
-// each, so that it is not repeated: the loss of one message does not matter.
+// TakeReports returns the reports that were not sent yet. Each is sent to several gateways and not
+// repeated: the loss of one message does not matter.
 func (r *Register) TakeReports() []Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reports := r.fresh
-	r.fresh = nil
+	reports := r.pending
+	r.pending = nil
 	return reports
 }
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -82,12 +82,12 @@
 	for i := range 2 * maxRecords {
 		r.Began(epoch, Report{KeyOf(fmt.Sprint("account-", i%100), fmt.Sprint(i)), old, keep})
 	}
-	if r.Len() != maxRecords || len(r.TakeReports()) != maxUntold {
-		t.Errorf("%d records, want %d, and %d reports", r.Len(), maxRecords, maxUntold)
+	if r.Len() != maxRecords || len(r.TakeReports()) != maxPendingReports {
+		t.Errorf("%d records, want %d, and %d reports", r.Len(), maxRecords, maxPendingReports)
 	}
 }
 
-// TestReportsAreTakenOnce checks that what this gateway recorded is told once, and what another
+// TestReportsAreTakenOnce checks that what this gateway recorded is sent once, and what another
 // one reported is not.
 func TestReportsAreTakenOnce(t *testing.T) {
 	r := NewRegister()
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -66,7 +66,7 @@
 	return true
 }
 
-// sentSlack is by how much the times at which reports say that the same attempt was sent
+// sentSlack is by how much the times at which reports state that the same attempt was sent
 // differ.
 const sentSlack = 500 * time.Millisecond
 
--- a/quarantine/derive.go
+++ b/quarantine/derive.go
@@ -10,7 +10,7 @@
 const (
 	// minCrashes is the number of crashes that a rule must explain. At least minChain of
 	// them must have happened one after another, the attempt of each sent after the crash
-	// before: a fault that ends many servers at once says little about what they ran.
+	// before: a fault that ends many servers at once shows little about what they ran.
 	minCrashes = 3
 	minChain   = 2
 	// minCrashesOfSound and minChainOfSound apply to traits with which attempts have
@@ -19,7 +19,7 @@
 	minChainOfSound   = 3
 )
 
-// evidence is what the crashes on record say about each trait.
+// evidence is what the crashes on record show about each trait.
 type evidence struct {
 	crashes []Crash
 	// exposures holds, for each crash, the attempts that may have caused it, with the
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -215,7 +215,7 @@
 
 // endTrial decides on the last crash by a request that was sent although the rule was known.
 // It puts off the next trial if nothing else can have caused that crash, or if it is the
-// second one; a crash in a wave says nothing. By then all gateways have reported it.
+// second one; a crash in a wave shows nothing. By then all gateways have reported it.
 func (r *Register) endTrial(now time.Time, known *rule) []Change {
 	at := slices.IndexFunc(r.crashes, func(c Crash) bool { return c.Server == known.crashedServer })
 	known.crashedServer = ""
--- a/quarantine/rate.go
+++ b/quarantine/rate.go
@@ -14,7 +14,7 @@
 	// maxChance is the greatest chance with which a trait may have been at all crashes that
 	// are held against it without being their cause; certainChance leaves no doubt.
 	maxChance, certainChance = 1e-3, 1e-6
-	// maxBrokenShare is the share of broken attempts beyond which crashes say nothing about
+	// maxBrokenShare is the share of broken attempts beyond which crashes show nothing about
 	// single requests.
 	maxBrokenShare = 0.85
 )
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -34,7 +34,7 @@
 	TrialReport
 )
 
-// Report is what a gateway tells the others.
+// Report is what a gateway reports to the others.
 type Report struct {
 	Kind ReportKind
 	// At is when the crash or the success happened; for a rule, the last crash that it
@@ -60,8 +60,8 @@
 	// fresh are the reports to be sent at once.
 	fresh    []Report
 	repeated []repeatedReport
-	// told holds when a trait was last reported to be sound, by any gateway.
-	told map[Trait]time.Time
+	// reportedAt holds when a trait was last reported to be sound, by any gateway.
+	reportedAt map[Trait]time.Time
 	// next is the position among the active rules at which the next reports go on.
 	next int
 	// changed gets a value when there are fresh reports.
@@ -69,7 +69,7 @@
 }
 
 func newOutbox() outbox {
-	return outbox{changed: make(chan struct{}, 1), told: make(map[Trait]time.Time)}
+	return outbox{changed: make(chan struct{}, 1), reportedAt: make(map[Trait]time.Time)}
 }
 
 // add adds a report that is sent at once and then repeated.
@@ -92,13 +92,13 @@
 // noteSound notes that a trait was reported to be sound, and reports whether it was not
 // for some time.
 func (o *outbox) noteSound(now time.Time, t Trait) bool {
-	if at, found := o.told[t]; found && now.Sub(at) < reportTime {
+	if at, found := o.reportedAt[t]; found && now.Sub(at) < reportTime {
 		return false
 	}
-	if len(o.told) >= maxSoundTraits {
-		clear(o.told)
+	if len(o.reportedAt) >= maxSoundTraits {
+		clear(o.reportedAt)
 	}
-	o.told[t] = now
+	o.reportedAt[t] = now
 	return true
 }
 
--- a/retry/pushback.go
+++ b/retry/pushback.go
@@ -85,7 +85,7 @@
 // use.
 type Returns struct {
 	mu sync.Mutex
-	// last is when the last caller was told to return.
+	// last is when the last caller was asked to return.
 	last time.Time
 }
 
--- a/routing/hint.go
+++ b/routing/hint.go
@@ -29,7 +29,7 @@
 	// ResidualTokens counts the tokens that requests which ended since the last
 	// hint left in the server's KV cache.
 	ResidualTokens int
-	// Speed is nil if there is nothing to tell. It is not part of the encoding, as gateways of
+	// Speed is nil if there is nothing to report. It is not part of the encoding, as gateways of
 	// earlier versions cannot decode a hint with more fields.
 	Speed *SpeedHint `msgpack:"-"`
 }
@@ -84,7 +84,7 @@
 const maxHintSegments = 16
 
 // urgentTokens is the change of the pending prefill at a server from which the peers
-// are told at once. The prefill of that many tokens takes longer than the message.
+// are informed at once. The prefill of that many tokens takes longer than the message.
 const urgentTokens = 1500
 
 // Changed returns a channel that gets a value when CollectChangedHints has hints to
@@ -101,7 +101,7 @@
 	return difference >= urgentTokens || difference <= -urgentTokens
 }
 
-// notifyIfUrgent tells that the load of a server has changed.
+// notifyIfUrgent notifies the sender of hints that the load of a server has changed.
 func (s *Scheduler) notifyIfUrgent(st *serverState) {
 	if !st.urgent() {
 		return
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -83,7 +83,7 @@
 	known := false
 	for _, st := range s.holders[j.Segments[0].ID] {
 		if st.candidates != c {
-			continue // of another service, or gone
+			continue // of another service, or removed
 		}
 		known = true
 		st.match = prefixMatch{choice: s.choices, uncached: st.uncachedTokens(j, false), prefilled: st.prefilledTokens(j)}
--- a/routing/speed.go
+++ b/routing/speed.go
@@ -19,7 +19,7 @@
 	// maxSlowness bounds the slowness of a server, stated or learnt.
 	maxSlowness = 10.0
 	// urgentSlowness is the factor by which a statement must exceed what is known of the
-	// server for the peers to be told at once.
+	// server for the peers to be informed at once.
 	urgentSlowness = 1.5
 	// speedHalfLife is the half-life of observations of a server's speed.
 	speedHalfLife = 15 * time.Second
@@ -109,11 +109,11 @@
 	// zero if that has no effect.
 	stated   float64
 	statedAt time.Time
-	// statedUnsent reports whether the peers have not been told of the statement,
-	// statedUrgent whether they must be told at once.
+	// statedUnsent reports whether the peers have not been informed of the statement,
+	// statedUrgent whether they must be informed at once.
 	statedUnsent, statedUrgent bool
 	// observed are the observations of all gateways as of observedAt, with exponential decay,
-	// unsent those of this gateway that its peers have not been told of since sentAt.
+	// unsent those of this gateway that its peers have not been informed of since sentAt.
 	observed, unsent   speedSums
 	observedAt, sentAt time.Time
 	// class and slowness are learnt: slowness is the natural logarithm of how many times
@@ -453,7 +453,7 @@
 // speedHintUnit is the inverse of the unit of SpeedHint.
 const speedHintUnit = 1000
 
-// collect returns what peers have to be told, or nil.
+// collect returns what peers have to be informed of, or nil.
 func (sp *serverSpeed) collect(now time.Time) *SpeedHint {
 	h := SpeedHint{StartedAtMs: sp.startedAtMs}
 	if sp.unsent.weight > 0 && now.Sub(sp.sentAt) >= speedHintInterval {
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -34,7 +34,7 @@
 	// routeVersion is the configuration version that added the route. It is zero
 	// for a route that all versions have.
 	routeVersion int
-	// timeout is how long the caller says that it waits.
+	// timeout is how long the caller states that it waits.
 	timeout time.Duration
 	// requestBody is the body of the request, prompt the header line that lists the segments of the
 	// prompt, if any. crashing is the kind of fault that lets the request crash servers, or
--- a/soak/check.go
+++ b/soak/check.go
@@ -105,7 +105,7 @@
 }
 
 // addFailure records the error of a step of the test itself, unless err is nil.
-// step says what the process or server should have done, for example "starts".
+// step states what the process or server should have done, for example "starts".
 func (h *observations) addFailure(step string, err error) {
 	if err == nil {
 		return
--- a/soak/checklimits.go
+++ b/soak/checklimits.go
@@ -25,21 +25,21 @@
 	type pair struct{ gateway, server string }
 	var found []Violation
 	for _, period := range d.limits {
-		told := make(map[pair]time.Time)
+		learnt := make(map[pair]time.Time)
 		for _, c := range d.history.calls {
 			for _, r := range d.history.received[c.id] {
 				p := pair{c.gateway, r.server}
 				if r.server != period.server || !r.statesLimit || c.err != nil || c.endedAt.Before(period.from) || r.receivedAt.Before(period.from) {
 					continue
 				}
-				if at, known := told[p]; !known || c.endedAt.Before(at) {
-					told[p] = c.endedAt
+				if at, known := learnt[p]; !known || c.endedAt.Before(at) {
+					learnt[p] = c.endedAt
 				}
 			}
 		}
 		var arrivals []time.Time
 		for _, c := range d.history.calls {
-			at, known := told[pair{c.gateway, period.server}]
+			at, known := learnt[pair{c.gateway, period.server}]
 			for _, r := range d.history.received[c.id] {
 				if known && r.server == period.server && r.receivedAt.After(at.Add(limitReactionTime)) && r.receivedAt.Before(period.to) {
 					arrivals = append(arrivals, r.receivedAt)
--- a/soak/cold.go
+++ b/soak/cold.go
@@ -59,7 +59,7 @@
 }
 
 // restartCold crashes a server and starts it again after the duration of the fault, with the
-// same ID at another address. It is cold, as its new entry says. It does nothing if the
+// same ID at another address. It is cold, as its new entry states. It does nothing if the
 // server is going.
 func (d *deployment) restartCold(s *server, f Fault) {
 	s.mu.Lock()
--- a/soak/server.go
+++ b/soak/server.go
@@ -238,7 +238,7 @@
 }
 
 // leave starts a replacement of a server and lets its responses state that it is
-// leaving. Its entry is removed at the same time, or still says that it is ready until
+// leaving. Its entry is removed at the same time, or still states that it is ready until
 // it closes. It does nothing if the server is already going.
 func (d *deployment) leave(s *server, removeEntry bool) {
 	s.mu.Lock()
