Soak: kill all gateways at the same time beside an origin holder

Cause: no test with real processes killed all gateways at once. Result: TestStreamsOfRealGatewaysChangeVersion/all-gateways passes. What goes on within the recovery time after such a kill is not judged by the soak; the tests of platform do.

--- a/cmd/sesame-soak/main.go
+++ b/cmd/sesame-soak/main.go
@@ -24,6 +24,7 @@
 	Extra       int           `default:"10" help:"Extra retries of a service that the budget allows."`
 	Refuse      bool          `help:"Let all backend servers refuse all requests, so that the retry budget is used up."`
 	Evacuations bool          `help:"Also evacuate data centres and let backend servers restart cold."`
+	FleetKills  bool          `help:"Also kill all gateways at the same time, beside an origin holder."`
 	Mutation    string        `help:"Disable this guard in programs built with the tag sesame_mutation, and succeed only if a seed fails."`
 }
 
@@ -34,6 +35,7 @@
 	opts.Bin, opts.Duration, opts.Gateways, opts.Faults = line.Bin, line.Duration, line.Gateways, line.Faults
 	opts.RetryExtra, opts.ServersRefuse = line.Extra, line.Refuse
 	opts.Evacuations = line.Evacuations
+	opts.FleetKills = line.FleetKills
 	if line.Mutation != "" {
 		opts.Environment = []string{"SESAME_MUTATION=" + line.Mutation}
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -15,7 +17,10 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
+	"github.com/sesameswitch/sesameswitch/clock"
+	"github.com/sesameswitch/sesameswitch/originholder"
 	"github.com/sesameswitch/sesameswitch/platform/standin"
 	"github.com/sesameswitch/sesameswitch/testbed"
 )
@@ -61,8 +66,12 @@
 	dir           string
 	store         *standin.Store
 	storeListener net.Listener
-	gateways      []*gatewayProcess
-	startedAt     time.Time
+	// holderPort is the port of the origin holder of the only VM, zero if there is none;
+	// stopHolder ends it.
+	holderPort int
+	stopHolder func()
+	gateways   []*gatewayProcess
+	startedAt  time.Time
 
 	// registryMu is held while a registry entry is written.
 	registryMu sync.Mutex
@@ -119,6 +128,12 @@
 	if d.cutsFirstRuns {
 		d.disruptions = append(d.disruptions, disruption{d.startedAt, d.startedAt.Add(o.Duration)})
 	}
+	if o.FleetKills || contains(KillAllGateways) {
+		if err := d.startHolder(); err != nil {
+			d.close()
+			return nil, err
+		}
+	}
 	if err := d.start(); err != nil {
 		d.close()
 		return nil, err
@@ -126,6 +141,37 @@
 	return d, nil
 }
 
+// startHolder starts an origin holder. All backend servers have the same IP address, and so the
+// same holder.
+func (d *deployment) startHolder() error {
+	reserved, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return eris.Wrap(err, "soak: find a port for the origin holder")
+	}
+	address := reserved.LocalAddr().(*net.UDPAddr)
+	reserved.Close()
+	d.holderPort = address.Port
+	ctx, cancel := context.WithCancel(context.Background())
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	done := make(chan error, 1)
+	go func() { done <- originholder.Serve(ctx, address.String(), clock.New(), logrus.NewEntry(log)) }()
+	d.stopHolder = func() {
+		cancel()
+		d.history.addFailure("origin holder serves", <-done)
+	}
+	return nil
+}
+
+// holderSettings returns the line of the gateways' settings and the argument that let them use the
+// origin holder; empty if there is none.
+func (d *deployment) holderSettings() (line string, args []string) {
+	if d.holderPort == 0 {
+		return "", nil
+	}
+	return fmt.Sprintf("port_range = [%d, %d]\n", d.holderPort, d.holderPort), []string{"--origin-holders"}
+}
+
 func (d *deployment) start() error {
 	var err error
 	if d.storeListener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
@@ -184,12 +230,13 @@
 		return err
 	}
 	name := fmt.Sprintf("gateway-%d", i)
+	holderLine, holderArgs := d.holderSettings()
 	settings := fmt.Sprintf(`node_name = %q
 zone = %q
 role = "gateway"
 ip = "127.0.0.1"
 seeds = [%s]
-[listen]
+%s[listen]
 front = %q
 ready_addr = %q
 control_addr = %q
@@ -203,7 +250,7 @@
 retry_window_s = 10
 %s[platform]
 addr = %q
-`, name, d.dataCentreOf(2*i), seedAddresses, a.front, a.ready, a.control, maxRevocationDelay.Milliseconds(), drainPeriod.Milliseconds(), retryRatio, d.opts.RetryExtra, d.coldBounds(), link.Address())
+`, name, d.dataCentreOf(2*i), seedAddresses, holderLine, a.front, a.ready, a.control, maxRevocationDelay.Milliseconds(), drainPeriod.Milliseconds(), retryRatio, d.opts.RetryExtra, d.coldBounds(), link.Address())
 	path := filepath.Join(d.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return eris.Wrap(err, "soak: write settings file")
@@ -213,7 +260,7 @@
 		return eris.Wrap(err, "soak: create log file")
 	}
 	g := &gatewayProcess{callerAddress: a.front, readyAddress: a.ready, storeLink: link, Program: testbed.Program{
-		Name: name, Path: filepath.Join(d.opts.Bin, "sesame-gateway"), Args: []string{"--boot", path}, Env: d.opts.Environment, Output: log,
+		Name: name, Path: filepath.Join(d.opts.Bin, "sesame-gateway"), Args: append([]string{"--boot", path}, holderArgs...), Env: d.opts.Environment, Output: log,
 	}}
 	d.gateways = append(d.gateways, g)
 	return g.Start()
@@ -235,6 +282,9 @@
 	if d.storeListener != nil {
 		d.storeListener.Close()
 	}
+	if d.stopHolder != nil {
+		d.stopHolder()
+	}
 	if !d.history.keepLogs {
 		_ = os.RemoveAll(d.dir) // on failure, a directory of temporary files remains
 	}
@@ -307,6 +357,12 @@
 	switch f.Kind {
 	case KillGateway:
 		d.restart(g, f, func() { g.Kill() })
+	case KillAllGateways:
+		var restarts sync.WaitGroup
+		for _, g := range d.gateways {
+			restarts.Go(func() { d.restart(g, f, func() { g.Kill() }) })
+		}
+		restarts.Wait()
 	case TerminateGateway:
 		d.restart(g, Fault{}, func() { d.history.addFailure("ends", g.Terminate()) })
 	case PauseGateway:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -40,6 +40,10 @@
 	ServerRestartsCold = "backend server restarts cold"
 )
 
+// KillAllGateways: all gateways are killed at the same time and start again. It is drawn only with
+// Options.FleetKills.
+const KillAllGateways = "all gateways killed"
+
 // Faults in effect for the entire test. They are not drawn at random.
 const (
 	// CutFirstRuns: each backend server cuts its answer to the first run of every
@@ -85,6 +89,14 @@
 // variantCount is the number of variants of a link fault or a store outage.
 const variantCount = 5
 
+// fleetKillFaults is the number of faults that Options.FleetKills adds to a plan, each followed by
+// another one within maxFaultDuration in half of the cases.
+const fleetKillFaults = 2
+
+// maxFleetKill is the longest time for which all gateways are away: their callers must be able to
+// take streams up afterwards.
+const maxFleetKill = time.Second
+
 // evacuationFaults is the number of faults that Options.Evacuations adds to a plan.
 const evacuationFaults = 4
 
@@ -97,6 +109,17 @@
 		rng := rand.New(rand.NewPCG(seed, 2)) //nolint:gosec // reproducible by design
 		faults = append(faults, drawFaults(o, rng, []string{EvacuateDataCentre, ServerRestartsCold}, evacuationFaults)...)
 	}
+	if o.FleetKills {
+		rng := rand.New(rand.NewPCG(seed, 3)) //nolint:gosec // reproducible by design
+		for _, f := range drawFaults(o, rng, []string{KillAllGateways}, fleetKillFaults) {
+			f.For = min(f.For, maxFleetKill)
+			faults = append(faults, f)
+			if again := f; rng.IntN(2) == 0 {
+				again.At += again.For + time.Duration(rng.Int64N(int64(time.Second)))
+				faults = append(faults, again)
+			}
+		}
+	}
 	slices.SortFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	if o.ServersRefuse {
 		faults = slices.Insert(faults, 0, Fault{Kind: AllServersRefuse})
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -37,6 +37,8 @@
 	// Evacuations adds EvacuateDataCentre and ServerRestartsCold to each random plan. The
 	// servers and gateways are in two data centres, and servers may be cold.
 	Evacuations bool
+	// FleetKills adds KillAllGateways to each random plan. Origin holders run beside the servers.
+	FleetKills bool
 	// Plan, if not nil, replaces the plan that the seed determines.
 	Plan []Fault
 	// Environment is added to the environment of the gateways.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -185,6 +185,7 @@
 		"replaced-servers": {{Kind: soak.ServerDrains, At: second, Target: 3}, {Kind: soak.ServerDrains, At: 2 * second, Target: 4}, {Kind: soak.ServerLeaves, At: 3 * second, Target: 3, Variant: 2}},
 		"killed-gateways":  {{Kind: soak.KillGateway, At: second, For: second / 5}, {Kind: soak.KillGateway, At: 3 * second, For: second / 5, Target: 1}, {Kind: soak.TerminateGateway, At: 5 * second, Target: 2}},
 		"crashing-servers": {{Kind: soak.CrashingSegment, At: second, For: 2 * second}},
+		"all-gateways":     {{Kind: soak.KillAllGateways, At: second, For: second / 5}, {Kind: soak.ServerDrains, At: 3 * second, Target: 3}, {Kind: soak.KillAllGateways, At: 4 * second, For: second / 5}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/soak/version.go
+++ b/soak/version.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/sesameswitch/sesameswitch/platform/standin"
 )
@@ -15,6 +16,8 @@
 	brokenShare = 3
 	// minTakenUp is the number of streams from which the share of those that go on is checked.
 	minTakenUp = 12
+	// takeUpMargin is how much longer than all gateways may be away a caller tries to reach one.
+	takeUpMargin = 500 * time.Millisecond
 )
 
 // errConnectionLost is the error of a call whose caller lost its connection on purpose.
@@ -63,7 +66,7 @@
 }
 
 // takeUp sends a request that takes up the stream of a broken call at a random gateway. It
-// returns nil if nothing is left to take up, or the gateway does not accept connections.
+// returns nil if nothing is left to take up, or no gateway accepts connections.
 func (cl *caller) takeUp(broken *call) *call {
 	if broken.route != "stream" || broken.err == nil || broken.status != http.StatusOK {
 		return nil
@@ -75,8 +78,10 @@
 		return nil
 	}
 	cl.disconnect()
-	if !cl.connect() {
-		return nil
+	for deadline := time.Now().Add(maxFleetKill + takeUpMargin); !cl.connect(); time.Sleep(pollInterval) {
+		if time.Now().After(deadline) {
+			return nil
+		}
 	}
 	c := &call{
 		id: broken.id + "-again", route: broken.route, key: broken.key, gateway: cl.gatewayIncarnation, timeout: longCallTimeout,
