--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -160,17 +160,23 @@
 		Codec: p.Codec, View: d.view, Directory: d.directory, Scheduler: scheduler, Pool: d.pool, Gateways: d.peers, Origins: d.peers, Tokens: d.peers,
 		Clock: monotonic, Elapsed: elapsed, Metrics: d.metrics, Log: d.log, Settings: d.settings.Load, Seed: o.Seed,
 	})
-	d.peers.Limits, d.peers.Crashes, d.peers.Origins, d.peers.Evacuations, d.peers.Tokens = d.server, d.server, d.server, d.view, d.server
-	d.peers.Unable = d.server.unableToConfirm
-	if o.OriginHolders {
-		d.peers.OriginHolderAddresses = d.originHolderAddresses
-	}
+	d.connectPeers()
 	d.ingress = ingress.New(ingress.Config{
 		Handle: d.handle, Limits: d.limits, CloseAfterResponse: d.closeAfterResponse, OnRefusal: d.onIngressRefusal,
 	})
 	return d, nil
 }
 
+// connectPeers lets the exchange with other gateways use the components.
+func (d *Daemon) connectPeers() {
+	p := d.peers
+	p.Limits, p.Crashes, p.Origins, p.Evacuations, p.Tokens = d.server, d.server, d.server, d.view, d.server
+	p.Unable = d.server.unableToConfirm
+	if d.options.OriginHolders {
+		p.OriginHolderAddresses = d.originHolderAddresses
+	}
+}
+
 // originHolderAddresses returns the addresses of the origin holders, one on the VM of each
 // usable model engine, sorted.
 func (d *Daemon) originHolderAddresses() []string {
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -149,7 +149,9 @@
 		return eris.Wrap(err, "soak: find a port for the origin holder")
 	}
 	address := reserved.LocalAddr().(*net.UDPAddr)
-	reserved.Close()
+	if err := reserved.Close(); err != nil {
+		return eris.Wrap(err, "soak: release the port of the origin holder")
+	}
 	d.holderPort = address.Port
 	ctx, cancel := context.WithCancel(context.Background())
 	log := logrus.New()
@@ -358,11 +360,7 @@
 	case KillGateway:
 		d.restart(g, f, func() { g.Kill() })
 	case KillAllGateways:
-		var restarts sync.WaitGroup
-		for _, g := range d.gateways {
-			restarts.Go(func() { d.restart(g, f, func() { g.Kill() }) })
-		}
-		restarts.Wait()
+		d.killAllGateways(f)
 	case TerminateGateway:
 		d.restart(g, Fault{}, func() { d.history.addFailure("ends", g.Terminate()) })
 	case PauseGateway:
@@ -409,6 +407,16 @@
 	}
 }
 
+// killAllGateways kills all gateways at the same time, and starts them again after the duration
+// of the fault.
+func (d *deployment) killAllGateways(f Fault) {
+	var restarts sync.WaitGroup
+	for _, g := range d.gateways {
+		restarts.Go(func() { d.restart(g, f, func() { g.Kill() }) })
+	}
+	restarts.Wait()
+}
+
 // disrupt injects a fault by begin, clears it by end after its duration, and
 // records the period as a disruption.
 func (d *deployment) disrupt(f Fault, begin, end func()) {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -40,7 +40,7 @@
 	ServerRestartsCold = "backend server restarts cold"
 )
 
-// KillAllGateways: all gateways are killed at the same time and start again. It is drawn only with
+// KillAllGateways kills all gateways at the same time; they start again. It is drawn only with
 // Options.FleetKills.
 const KillAllGateways = "all gateways killed"
 
