Send nothing to servers whose address answers for another one, and read the view at once

Change: a server for which another one responded gets no requests of this gateway for 4 s, longer than its lease, and the next watch of the store starts at once, every 200 ms at most.

--- a/decisionlog/decisionlog.go
+++ b/decisionlog/decisionlog.go
@@ -47,7 +47,7 @@
 // that a process knew for a topic is given by the last event on it.
 var stateTopics = map[string]string{
 	"config_accepted": "configuration", "store_lost": "store", "store_regained": "store", "process_state": "process",
-	"backend_ready": "server", "backend_leaving": "server", "backend_paused": "server", "backend_limited": "server", "backend_unlimited": "server", "backend_draining": "server", "backend_gone": "server", "backend_lapsed": "server", "backend_unusable": "server", "backend_doubted": "server", "backend_crashed": "server",
+	"backend_ready": "server", "backend_leaving": "server", "backend_paused": "server", "backend_limited": "server", "backend_unlimited": "server", "backend_draining": "server", "backend_gone": "server", "backend_lapsed": "server", "backend_unusable": "server", "backend_doubted": "server", "backend_replaced": "server", "backend_crashed": "server",
 	"quarantine_started": "quarantine", "quarantine_confirmed": "quarantine", "quarantine_lifted": "quarantine",
 	"settings_reloaded": "settings", "settings_refused": "settings", "peer_heard": "peer", "peer_lost": "peer",
 	"gateways_counted": "gateways", "process_paused": "pause", "store_era": "store era", eventEvacuated: "evacuation", eventRestored: "evacuation",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,9 @@
 	// NotRun reports whether the backend server stated that it did not run the
 	// request.
 	NotRun bool
+	// OtherServer reports whether another server than the expected one responded: its address
+	// has been taken over.
+	OtherServer bool
 	// Leaving reports whether the server stated that it is leaving.
 	Leaving bool
 	// Pause is how long the server asked this gateway to send nothing; zero if it did
--- a/gateway/pushback.go
+++ b/gateway/pushback.go
@@ -28,6 +28,22 @@
 	}).Info("backend server asks for a pause")
 }
 
+// replacedHold is how long a backend server at whose address another one has responded gets no
+// requests. The lease of its entry expires earlier.
+const replacedHold = 4 * time.Second
+
+// recordReplaced records that another server has responded at the address of a backend server,
+// which must have ended. The view learns soon which servers there are instead.
+func (s *Server) recordReplaced(b *directory.BackendServer) {
+	if _, changed := s.pushback.Ask(s.deps.Clock.Now(), incarnationOf(b), replacedHold); !changed {
+		return
+	}
+	s.deps.View.Hasten()
+	s.deps.Log.WithFields(logrus.Fields{
+		"event": "backend_replaced", "server": b.ID, "service": b.Service, "address": b.Address, "started_at_ms": b.StartedAtMs, "hold_ms": replacedHold.Milliseconds(),
+	}).Info("another server responds at the address of the backend server; it gets no requests")
+}
+
 // paused reports whether a backend server asked for a pause that has not ended.
 func (s *Server) paused(b *directory.BackendServer) bool {
 	_, paused := s.pushback.Until(s.deps.Clock.Now(), incarnationOf(b))
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -30,6 +30,9 @@
 			s.deps.Log.WithFields(logrus.Fields{"event": "response_field_ignored", "server": server.ID, "field": field}).Warn("invalid header field of a backend server ignored")
 		}
 	}
+	if info.OtherServer {
+		s.recordReplaced(server)
+	}
 	if info.Leaving {
 		s.deps.View.MarkLeaving(server)
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -32,6 +32,8 @@
 	watchIntervalShare = 0.4
 	// maxWatchInterval bounds that interval, as each watch also confirms the keys.
 	maxWatchInterval = 2 * time.Second
+	// hastenInterval is the least time between two watches that are hastened.
+	hastenInterval = 200 * time.Millisecond
 	// watchMargin is the additional time that a watch may take because of a slow
 	// store or a lost packet.
 	watchMargin = 900 * time.Millisecond
@@ -88,6 +90,10 @@
 	listedEra storeera.Era
 	// eraChanged ends the wait of a watch when another call has seen a newer era.
 	eraChanged chan struct{}
+	// hastened ends the pause before the next watch; hastenedAt is when that last happened, in
+	// the time of the clock elapsed. Only Run uses hastenedAt.
+	hastened   chan struct{}
+	hastenedAt time.Duration
 	// relisted is closed when a newer era is listed completely; nil if none is missing.
 	relisted chan struct{}
 	// refreshes lets concurrent calls of Refresh share one read of the store.
@@ -111,7 +117,7 @@
 
 // NewView returns an empty view.
 func NewView(store Store, dir *directory.Directory, elapsed clock.Elapsed, maxConfigDelay func() time.Duration, log *logrus.Entry, onRemoved func(string), onActivated func(*routes.Table)) *View {
-	return &View{store: store, directory: dir, elapsed: elapsed, maxConfigDelay: maxConfigDelay, log: log, onRemoved: onRemoved, onActivated: onActivated, unavailable: true, eraChanged: make(chan struct{}, 1)}
+	return &View{store: store, directory: dir, elapsed: elapsed, maxConfigDelay: maxConfigDelay, log: log, onRemoved: onRemoved, onActivated: onActivated, unavailable: true, eraChanged: make(chan struct{}, 1), hastened: make(chan struct{}, 1)}
 }
 
 // Table returns the active configuration, or nil.
@@ -250,14 +256,30 @@
 	}
 }
 
-// pause waits for a duration, or until another call has seen a newer era.
+// Hasten starts the next watch soon: a response has shown that the servers that are listed have
+// ended.
+func (v *View) Hasten() {
+	select {
+	case v.hastened <- struct{}{}:
+	default: // a notification is pending
+	}
+}
+
+// pause waits for a duration, or until another call has seen a newer era or the view is
+// hastened, which happens once in hastenInterval at most.
 func (v *View) pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
+	hastened := v.hastened
+	if v.hastenedAt > 0 && v.elapsed()-v.hastenedAt < hastenInterval {
+		hastened = nil
+	}
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-v.eraChanged:
+	case <-hastened:
+		v.hastenedAt = v.elapsed()
 	}
 }
 
