--- a/gateway/server.go
+++ b/gateway/server.go
@@ -39,8 +39,7 @@
 	// defaultTimeout applies if the route sets no timeout. A caller can only
 	// shorten the timeout of a request.
 	defaultTimeout = 30 * time.Second
-	// startRetryAfter is the retry delay if the gateway has no configuration, or
-	// one that was not confirmed recently enough.
+	// startRetryAfter is the retry delay if the gateway has no configuration.
 	startRetryAfter = 300 * time.Millisecond
 	// minRetryAfter is the minimum of retryDelay and the upper bound of jitter.
 	minRetryAfter = 100 * time.Millisecond
