--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins that the scripts of review/ start.
+set -e
+cd "$(dirname "$0")/.."
+go build -tags review -o bin/review-rig ./review/rig
