--- /dev/null
+++ b/review/rig/leaving.go
@@ -0,0 +1,94 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+func init() { cases["leaving"] = leavingReplica }
+
+// leavingReplica lets the open connections to the store go silent, and takes a replica away soon
+// after. It never reports that it is draining: its entry is removed, and it serves on for some
+// seconds. contact_ms later the gateway is in touch: it must send nothing to that replica.
+func leavingReplica(d *deployment, trouble bool) ([]string, error) {
+	routes := []string{route("r-unsafe", "/puxa403/", "unsafe", "gopu72b", 1500, 300, 1, true)}
+	d.publish(3, configuration(3, routes, plainService("gopu72b"), `[{"name":"hule930","api_keys":["`+firstKey+`"],"priority":1}]`))
+	for i := range 3 {
+		if _, err := d.startReplica(fmt.Sprintf("i-%d", i+1), "gopu72b", 11+i, 6, answer(60*time.Millisecond)); err != nil {
+			return nil, err
+		}
+	}
+	if err := d.startGateway(1); err != nil {
+		return nil, err
+	}
+	if err := d.awaitReady(); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	var mu sync.Mutex
+	var all []sent
+	var clients sync.WaitGroup
+	for range 4 {
+		clients.Go(func() {
+			c := &client{record: d.record, address: d.address(1, frontPort)}
+			for time.Since(began) < 16*time.Second {
+				s := c.do("POST", "/puxa403/2f", "", 1500*time.Millisecond, "seat 12")
+				mu.Lock()
+				all = append(all, s)
+				mu.Unlock()
+				time.Sleep(30 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(5 * time.Second)
+	silenced, n := time.Now(), 0
+	if trouble {
+		n = d.link.silence()
+	}
+	d.record.add("connections to the store silent for good: %d", n)
+	time.Sleep(400 * time.Millisecond)
+	leaving := d.replicas[0]
+	acknowledged := d.removeEntry(leaving)
+	time.Sleep(4 * time.Second)
+	leaving.crash()
+	clients.Wait()
+	return leavingBroken(d, all, leaving, silenced, acknowledged), nil
+}
+
+// removeEntry removes the entry of a replica that leaves, and returns when the store acknowledged
+// it.
+func (d *deployment) removeEntry(r *replica) time.Time {
+	r.mu.Lock()
+	r.gone = true
+	r.mu.Unlock()
+	d.store.Remove("servers/" + r.id)
+	d.record.add("replica %s leaves: the removal of its entry is acknowledged", r.id)
+	return time.Now()
+}
+
+// leavingBroken returns how the rule on leaving replicas was broken by a gateway in touch.
+func leavingBroken(d *deployment, all []sent, leaving *replica, silenced, acknowledged time.Time) []string {
+	late, lost := 0, 0
+	var last time.Duration
+	for _, s := range all {
+		if s.at.Sub(silenced) <= contact {
+			continue // the machine that took the request was not in touch
+		}
+		for _, r := range d.record.runsOf(s.id) {
+			if after := r.at.Sub(acknowledged); r.replica == leaving.id && after > drainPeriod {
+				late++
+				last = max(last, after)
+				if s.status != 200 {
+					lost++
+				}
+			}
+		}
+	}
+	if late == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("DRAIN: %d requests reached %s later than drain_ms after the removal of its entry, up to %d ms after it, taken and sent on by a gateway in touch; %d of them got no success", late, leaving.id, last.Milliseconds(), lost)}
+}
