--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -19,7 +19,6 @@
 
 // Bounds of the settings files, as the site file atlas-pesee and DEPLOY.md state them.
 const (
-	heartbeat   = 1200 * time.Millisecond
 	configApply = 2000 * time.Millisecond
 	revoke      = 5000 * time.Millisecond
 	contact     = 3000 * time.Millisecond
@@ -48,8 +47,6 @@
 	gateways []*process
 	others   []*process
 	replicas []*replica
-	stop     chan struct{}
-	beats    sync.WaitGroup
 	closing  sync.Once
 }
 
@@ -66,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, store: standin.NewStore(), record: rec, stop: make(chan struct{})}
+	d := &deployment{dir: dir, store: standin.NewStore(), record: rec}
 	pid := os.Getpid()
 	for i := range 200 {
 		d.network = fmt.Sprintf("127.%d.%d", 10+(pid/250+i)%200, 1+pid%250)
@@ -194,8 +191,7 @@
 	return err
 }
 
-// startReplica starts a replica of a service with an origin holder beside it, and keeps its
-// entry in the store up to date.
+// startReplica starts a replica of a service with an origin holder beside it, and writes its entry.
 func (d *deployment) startReplica(id, service string, machine, slots int, run runner) (*replica, error) {
 	r, err := newReplica(id, service, d.address(machine, appPort), slots, run, d.record)
 	if err != nil {
@@ -211,33 +207,14 @@
 	}
 	d.others = append(d.others, holder)
 	d.replicas = append(d.replicas, r)
-	d.beat(r)
-	d.beats.Go(func() {
-		ticker := time.NewTicker(heartbeat)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-d.stop:
-				return
-			case <-r.left:
-				return
-			case <-ticker.C:
-				d.beat(r)
-			}
-		}
-	})
+	d.register(r)
 	return r, nil
 }
 
-// beat writes the entry of a replica.
-func (d *deployment) beat(r *replica) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.gone {
-		return
-	}
-	r.seq++
-	d.store.Put("servers/"+r.id, fmt.Appendf(nil, `{"service":%q,"addr":%q,"zone":"casa-north","version":"v1","slots":%d,"state":%q,"cold_left_ms":0,"seq":%d,"born":%d}`, r.service, r.address, r.slots, r.state, r.seq, r.born))
+// register writes the entry of a replica. What replicas write there every heartbeat_ms changes the
+// entry only when more than seq changes, so it is written once.
+func (d *deployment) register(r *replica) {
+	d.store.Put("servers/"+r.id, fmt.Appendf(nil, `{"service":%q,"addr":%q,"zone":"casa-north","version":"v1","slots":%d,"state":"ready","cold_left_ms":0,"seq":1,"born":%d}`, r.service, r.address, r.slots, r.born))
 }
 
 // awaitReady waits until all gateways are ready.
@@ -275,8 +252,6 @@
 func (d *deployment) close() { d.closing.Do(d.end) }
 
 func (d *deployment) end() {
-	close(d.stop)
-	d.beats.Wait()
 	for _, p := range append(d.gateways, d.others...) {
 		select {
 		case <-p.done:
--- a/review/rig/leaving.go
+++ b/review/rig/leaving.go
@@ -14,24 +14,22 @@
 // half a second for the silence itself.
 const settled = contact + 500*time.Millisecond
 
-// leavingReplica takes a replica away, and lets the open connections to the store go silent soon
-// after the store has acknowledged that. The replica never reports that it is draining: its entry
-// is removed, and it serves on for some seconds. When the gateways are in touch again, they must
-// send nothing to it.
+// leavingReplica takes three of twelve replicas away, one after the other, and lets the open
+// connections to the store go silent soon after the store has acknowledged that. The replicas never
+// report that they are draining: their entries are removed, and they serve on for some seconds. When
+// the gateways are in touch again, they must send nothing to them.
 func leavingReplica(d *deployment, trouble bool) ([]string, error) {
 	routes := []string{route("r-unsafe", "/puxa403/", "unsafe", "gopu72b", 1500, 300, 1, true)}
 	d.publish(3, configuration(3, routes, plainService("gopu72b"), `[{"name":"hule930","api_keys":["`+firstKey+`"],"priority":1}]`))
-	for i := range 4 {
+	for i := range 12 {
 		if _, err := d.startReplica(fmt.Sprintf("i-%d", i+1), "gopu72b", 11+i, 6, answer(60*time.Millisecond)); err != nil {
 			return nil, err
 		}
-		time.Sleep(heartbeat / 4) // replicas write their entries at different times
 	}
 	for i := range 3 {
 		if err := d.startGateway(1 + i); err != nil {
 			return nil, err
 		}
-		time.Sleep(250 * time.Millisecond)
 	}
 	if err := d.awaitReady(); err != nil {
 		return nil, err
@@ -40,7 +38,7 @@
 	var mu sync.Mutex
 	var all []sent
 	var clients sync.WaitGroup
-	for i := range 6 {
+	for i := range 12 {
 		clients.Go(func() {
 			c := &client{record: d.record, address: d.address(1+i%3, frontPort)}
 			for time.Since(began) < 14*time.Second {
@@ -53,7 +51,11 @@
 		})
 	}
 	time.Sleep(5 * time.Second)
-	leaving := d.replicas[0]
+	for _, r := range d.replicas[:2] {
+		d.removeEntry(r)
+		time.Sleep(leaveGap)
+	}
+	leaving := d.replicas[2]
 	acknowledged := d.removeEntry(leaving)
 	time.Sleep(silentAfter)
 	silenced, n := time.Now(), 0
@@ -62,24 +64,26 @@
 	}
 	d.record.add("connections to the store silent for good: %d", n)
 	time.Sleep(leavingServes)
-	leaving.crash()
+	for _, r := range d.replicas[:3] {
+		r.end()
+	}
 	clients.Wait()
 	return leavingBroken(d, all, leaving, silenced, acknowledged), nil
 }
 
-// silentAfter is the time from the removal to the silence. Each gateway reads the store every
-// 0.8 s.
-const silentAfter = 250 * time.Millisecond
-
-// leavingServes is how long a replica serves on after the removal of its entry.
-const leavingServes = 5 * time.Second
+const (
+	// leaveGap is the time between two removals, silentAfter that from the last one to the silence.
+	// A gateway begins to read the store at most once in 0.8 s: after the first two removals it reads
+	// the third one that much after the first.
+	leaveGap    = 200 * time.Millisecond
+	silentAfter = 200 * time.Millisecond
+	// leavingServes is how long the replicas serve on after the silence.
+	leavingServes = 4300 * time.Millisecond
+)
 
 // removeEntry removes the entry of a replica that leaves, and returns when the store acknowledged
 // it.
 func (d *deployment) removeEntry(r *replica) time.Time {
-	r.mu.Lock()
-	r.gone = true
-	r.mu.Unlock()
 	d.store.Remove("servers/" + r.id)
 	at := time.Now()
 	d.record.add("replica %s leaves: the removal of its entry is acknowledged", r.id)
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -46,10 +46,6 @@
 	early bool
 
 	mu    sync.Mutex
-	state string
-	seq   int
-	gone  bool
-	left  chan struct{}
 	conns map[net.Conn]struct{}
 }
 
@@ -58,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{id: id, service: service, address: address, slots: slots, born: time.Now().UnixMilli(), run: run, record: rec, listener: l, state: "ready", left: make(chan struct{}), conns: make(map[net.Conn]struct{})}
+	r := &replica{id: id, service: service, address: address, slots: slots, born: time.Now().UnixMilli(), run: run, record: rec, listener: l, conns: make(map[net.Conn]struct{})}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -124,15 +120,13 @@
 	}
 }
 
-// crash ends the replica: it refuses connections, and its entry is not written any more.
-func (r *replica) crash() {
+// end ends the replica: it refuses connections.
+func (r *replica) end() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.gone = true
-	close(r.left)
 	r.listener.Close()
 	for c := range r.conns {
 		c.Close()
 	}
-	r.record.add("replica %s crashes", r.id)
+	r.record.add("replica %s has exited", r.id)
 }
