--- a/provider/httpprovider/backend.go
+++ b/provider/httpprovider/backend.go
@@ -67,12 +67,13 @@
 }
 
 // Do sends the request and returns the response as soon as its head has arrived.
-// Reading the body fails if the connection breaks before the announced length.
+// Reading the body fails if the connection breaks before the announced length or, without
+// one, before the server has closed it.
 // Redirects are returned and not followed.
 func (b *BackendServer) Do(ctx context.Context, req provider.Request) (*provider.Response, error) {
-	var connected atomic.Bool
+	var conn atomic.Pointer[writeErrorConn] // the connection of the last attempt; nil before it
 	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { conn.Store(info.Conn.(*writeErrorConn)) },
 	}
 	httpReq, err := b.newRequest(httptrace.WithClientTrace(ctx, trace), req)
 	if err != nil {
@@ -80,9 +81,9 @@
 	}
 	httpResp, err := b.transport(req).RoundTrip(httpReq) //nolint:bodyclose // the caller closes Response.Body
 	if err == nil {
-		return newResponse(httpResp), nil
+		return newResponse(httpResp, conn.Load()), nil
 	}
-	if !connected.Load() {
+	if conn.Load() == nil {
 		return nil, &NotSentError{Cause: err}
 	}
 	return nil, eris.Wrapf(err, "%s %s", req.Method, req.Path)
@@ -111,7 +112,7 @@
 	return httpReq, nil
 }
 
-func newResponse(httpResp *http.Response) *provider.Response {
+func newResponse(httpResp *http.Response, conn *writeErrorConn) *provider.Response {
 	header := make(map[string]string, len(httpResp.Header))
 	for name, values := range httpResp.Header {
 		if !hopByHopHeaders[name] {
@@ -122,6 +123,6 @@
 		Status: httpResp.StatusCode,
 		Header: header,
 		Length: httpResp.ContentLength,
-		Body:   httpResp.Body,
+		Body:   responseBody(httpResp, conn),
 	}
 }
--- a/provider/httpprovider/transport.go
+++ b/provider/httpprovider/transport.go
@@ -30,7 +30,7 @@
 func newTransport(reuseConnections bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: tcpKeepAliveInterval}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialWriteErrorConn(dialer),
 		DisableKeepAlives:      !reuseConnections,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
