--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -51,6 +51,9 @@
 // Bounds are the time limits that the deployment guarantees or requires, and
 // the limits on retries.
 type Bounds struct {
+	// HeartbeatInterval is the interval at which backend servers renew the leases of their
+	// entries in the store; zero if it is not known.
+	HeartbeatInterval time.Duration
 	// DrainPeriod is how long a backend server still accepts requests after it
 	// has announced that it is draining.
 	DrainPeriod time.Duration
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -27,6 +27,17 @@
 // live backend servers register again within this time.
 const LeaseExpiryGrace = 2 * time.Second
 
+// leaseIntervals is the number of heartbeat intervals without a heartbeat after which the lease
+// of an entry expires.
+const leaseIntervals = 3
+
+// LeaseExpiryOutage returns the length of the shortest outage of the store in which the lease of
+// a live backend server expires, for a heartbeat interval: its last heartbeat before the outage
+// is up to one interval old.
+func LeaseExpiryOutage(heartbeat time.Duration) time.Duration {
+	return (leaseIntervals - 1) * heartbeat
+}
+
 // BackendServer describes one incarnation of a backend server. A value is
 // immutable once the directory has returned it.
 type BackendServer struct {
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -124,6 +124,7 @@
 	store := p.NewStore(func() string { return d.settings.Load().StoreAddress })
 	maxConfigDelay := func() time.Duration { return d.settings.Load().Bounds.MaxConfigDelay }
 	d.view = NewView(store, d.directory, elapsed, maxConfigDelay, d.log, scheduler.RemoveServer, func(t *routes.Table) { scheduler.SetEventGapTargets(eventGapTargets(t)) })
+	d.view.HeartbeatInterval = func() time.Duration { return d.settings.Load().Bounds.HeartbeatInterval }
 	storeEra := d.metrics.Gauge("sesame_gateway_store_era")
 	d.view.OnEra = func(era storeera.Era, verdict storeera.Verdict) {
 		if verdict == storeera.Newer {
--- a/gateway/doubt.go
+++ b/gateway/doubt.go
@@ -14,7 +14,7 @@
 const (
 	// entryDelay is how long a version of a registry entry may take until this gateway has
 	// read it, which is the time of a watch.
-	entryDelay = watchWait + watchMargin
+	entryDelay = watchTimeout
 	// maxDoubt is how long an incarnation that refused connections and that is still listed is
 	// in doubt at most. The lease of a server that has ended expires earlier.
 	maxDoubt = 10 * time.Second
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -190,4 +190,7 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*Delta, error)
 	// Configuration reads the current configuration.
 	Configuration(ctx context.Context) (*ConfigurationRead, error)
+	// CloseIdleConnections closes the connections that no call uses, so that the next call
+	// opens a new one.
+	CloseIdleConnections()
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -34,7 +34,7 @@
 	maxUnknownViewAge = 250 * time.Millisecond
 	// maxRetiredViewAge is the maximum age of the view for refusing a request
 	// whose route or key only an earlier configuration had. A watch of the store
-	// returns within this time, which is watchWait plus watchMargin.
+	// returns within this time, which is watchTimeout.
 	maxRetiredViewAge = 2400 * time.Millisecond
 	// defaultTimeout applies if the route sets no timeout. A caller can only
 	// shorten the timeout of a request.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -21,10 +21,6 @@
 var ErrCompacted = errors.New("gateway: the store no longer has the history after the requested revision")
 
 const (
-	// watchWait is how long a watch waits for changes. It is short because the
-	// view must be confirmed several times within the time limit for key
-	// revocations.
-	watchWait = 1500 * time.Millisecond
 	// watchIntervalShare is the interval between the starts of two watches, as a part
 	// of the time within which a configuration must be applied. A fleet of hundreds
 	// of servers renews its entries all the time, so that each watch returns at once;
@@ -34,9 +30,6 @@
 	maxWatchInterval = 2 * time.Second
 	// hastenInterval is the least time between two watches that are hastened.
 	hastenInterval = 200 * time.Millisecond
-	// watchMargin is the additional time that a watch may take because of a slow
-	// store or a lost packet.
-	watchMargin = 900 * time.Millisecond
 	// listTimeout limits a complete listing.
 	listTimeout = 2 * time.Second
 	// refreshTimeout limits a read of the configuration for which a request
@@ -49,10 +42,6 @@
 	// minBackoff and maxBackoff limit the backoff after a failed call.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
-	// outageAfter is the time without responses after which the next response
-	// ends an outage. The leases of entries that are removed just after an outage
-	// may have expired because of the outage.
-	outageAfter = 700 * time.Millisecond
 	// sweepInterval is how often entries with expired leases are checked.
 	sweepInterval = 250 * time.Millisecond
 )
@@ -78,6 +67,9 @@
 	// failed call. Only Run uses them.
 	lastResponseAt time.Duration
 	unavailable    bool
+	// lateness is how much later than expected the last answer to a watch came. Only Run uses
+	// it.
+	lateness time.Duration
 	// mu serializes the activation of tables.
 	mu sync.Mutex
 	// eraMu guards eras and confirmations: an answer confirms the active configuration
@@ -108,6 +100,9 @@
 	// for each table that becomes active.
 	onRemoved   func(id string)
 	onActivated func(t *routes.Table)
+	// HeartbeatInterval, if set before Run, returns the interval at which backend servers renew
+	// the leases of their entries; zero if it is not known.
+	HeartbeatInterval func() time.Duration
 	// OnEra, if set before Run, is called with the era and the verdict of each answer
 	// of the store that is not current.
 	OnEra func(era storeera.Era, verdict storeera.Verdict)
@@ -206,6 +201,7 @@
 		}
 		if err != nil {
 			v.observeError(err)
+			v.reconnect(err)
 			v.refreshFailedAt.Store(int64(v.elapsed()))
 			return nil, err
 		}
@@ -250,6 +246,7 @@
 			continue
 		}
 		v.observeError(err)
+		v.reconnect(err)
 		v.recordFailure(err)
 		clock.Sleep(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
@@ -301,8 +298,8 @@
 	if v.mustList() {
 		return v.list(ctx)
 	}
-	start := v.elapsed()
-	delta, err := v.watch(ctx)
+	answer := v.watch(ctx)
+	delta, err := answer.delta, answer.err
 	if errors.Is(err, ErrCompacted) {
 		v.log.WithField("event", "store_compacted").Info("the store no longer has the history of the watch; listing again")
 		v.observeError(err)
@@ -326,30 +323,13 @@
 	if len(delta.Tables) > 0 || delta.TableUnreadable {
 		v.newerUnreadable.Store(delta.TableUnreadable)
 	}
-	v.confirm(start, delta.Era)
+	v.confirm(answer.start, delta.Era)
 	now := time.Unix(0, int64(v.elapsed()))
 	v.reportEvacuations(v.directory.ApplyEvacuations(now, delta.Evacuations), logrus.Fields{"source": "watch"})
 	v.reportEvents(v.directory.Apply(now, delta.ServerChanges, delta.Revision), delta.EntryErrors)
 	return nil
 }
 
-// watch waits for changes of the store. It ends early when another call has seen a
-// newer era.
-func (v *View) watch(ctx context.Context) (*Delta, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
-	defer cancel()
-	ended := make(chan struct{})
-	defer close(ended)
-	go func() {
-		select {
-		case <-v.eraChanged:
-			cancel()
-		case <-ended:
-		}
-	}()
-	return v.store.Watch(ctx, v.directory.Revision(), watchWait)
-}
-
 // list reads the complete state of the store.
 func (v *View) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -389,34 +369,6 @@
 	return nil
 }
 
-// recordResponse records that the store responded. It notifies the directory if
-// the response ends an outage.
-func (v *View) recordResponse() {
-	now := v.elapsed()
-	if v.unavailable {
-		if v.lastResponseAt > 0 && now-v.lastResponseAt > outageAfter {
-			v.directory.StoreRecovered(time.Unix(0, int64(now)))
-		}
-		outage := time.Duration(0)
-		if v.lastResponseAt > 0 {
-			outage = now - v.lastResponseAt
-		}
-		v.log.WithFields(logrus.Fields{"event": "store_regained", "away_ms": outage.Milliseconds()}).Info("store available")
-		v.unavailable = false
-	}
-	v.lastResponseAt = now
-}
-
-// recordFailure records that a call to the store failed. Only the first failure
-// after a response is logged.
-func (v *View) recordFailure(err error) {
-	if v.unavailable {
-		return
-	}
-	v.unavailable = true
-	v.log.WithError(err).WithFields(logrus.Fields{"event": "store_lost", "age_ms": v.Age().Milliseconds()}).Warn("store unavailable; serving from the last known state")
-}
-
 // reportEvacuations logs which data centres were evacuated and where that has ended.
 func (v *View) reportEvacuations(events []directory.EvacuationEvent, source logrus.Fields) {
 	for _, e := range events {
--- a/gateway/view_era_test.go
+++ b/gateway/view_era_test.go
@@ -104,6 +104,8 @@
 	return c
 }
 
+func (s *modelStore) CloseIdleConnections() {}
+
 func (s *modelStore) List(context.Context) (*Snapshot, error) {
 	state, era := s.answer()
 	snapshot := &Snapshot{Era: era, Revision: state.revision, Table: modelTable(state.version)}
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -23,6 +23,8 @@
 	return &ConfigurationRead{}, nil
 }
 
+func (s *renewingStore) CloseIdleConnections() {}
+
 func (s *renewingStore) List(context.Context) (*Snapshot, error) {
 	s.calls.Add(1)
 	return &Snapshot{Revision: s.revision.Load()}, nil
