--- a/gateway/view.go
+++ b/gateway/view.go
@@ -177,7 +177,10 @@
 	}
 	v.table.Store(t.WithRetiredFrom(old))
 	v.onActivated(t)
-	v.log.WithFields(logrus.Fields{"event": "config_accepted", "version": t.Version, "source": source, "routes": len(t.Routes())}).Info("new configuration active")
+	v.log.WithFields(logrus.Fields{"event": "config_accepted", "version": t.Version, "source": source, "routes": len(t.Routes()), "keys_required": t.RequiresKeys()}).Info("new configuration active")
+	if old != nil && old.RequiresKeys() && !t.RequiresKeys() {
+		v.log.WithFields(logrus.Fields{"event": "keys_not_required", "version": t.Version, "previous": old.Version}).Warn("the configuration no longer defines client accounts; requests need no key")
+	}
 }
 
 // Refresh reports whether the active configuration was confirmed at most maxAge
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -107,6 +107,15 @@
 	Priority int
 }
 
+// APIKeys are the API keys of a configuration.
+type APIKeys struct {
+	// Required reports whether requests of routes that are not public need a key: the
+	// configuration defines client accounts, with or without keys.
+	Required bool
+	// Accounts holds the account of each key.
+	Accounts map[string]*ClientAccount
+}
+
 // Limits apply to the requests and connections of callers.
 type Limits struct {
 	HeaderBytes   int
@@ -122,7 +131,7 @@
 	services map[string]*Service
 	// byHost holds the routes of each host by path prefix.
 	byHost map[string]map[string]*Route
-	keys   map[string]*ClientAccount
+	keys   APIKeys
 	byName map[string]*Route
 	// retiredKeys and retiredRoutes hold the API keys and the routes (host and
 	// prefix concatenated) of earlier versions that this version lacks.
@@ -145,7 +154,7 @@
 	if old == nil {
 		return &next
 	}
-	retire(next.retiredKeys, old.retiredKeys, old.keys, func(key string) bool { return t.keys[key] != nil })
+	retire(next.retiredKeys, old.retiredKeys, old.keys.Accounts, func(key string) bool { return t.keys.Accounts[key] != nil })
 	present := make(map[string]bool, len(t.byName))
 	for _, r := range t.byName {
 		present[r.Host+r.Prefix] = true
@@ -196,7 +205,7 @@
 
 // Build validates and indexes a configuration. If two routes have the same host
 // and prefix, the later one applies.
-func Build(version uint64, limits Limits, all []Route, services []Service, keys map[string]*ClientAccount) (*Table, error) {
+func Build(version uint64, limits Limits, all []Route, services []Service, keys APIKeys) (*Table, error) {
 	t := &Table{
 		Version:  version,
 		Limits:   limits,
@@ -276,12 +285,15 @@
 	if key == "" {
 		return nil
 	}
-	return t.keys[key]
+	return t.keys.Accounts[key]
 }
 
-// NeedsKey reports whether requests of the route must carry an API key. None
-// must if the configuration has no keys.
-func (t *Table) NeedsKey(r *Route) bool { return len(t.keys) > 0 && !r.Public }
+// RequiresKeys reports whether requests of routes that are not public must carry an API key.
+func (t *Table) RequiresKeys() bool { return t.keys.Required }
+
+// NeedsKey reports whether requests of the route must carry an API key. If the
+// last key was revoked, none is valid.
+func (t *Table) NeedsKey(r *Route) bool { return t.keys.Required && !r.Public }
 
 // ChooseService returns the service that serves the request with the ID. Requests
 // are divided among the targets by weight. The same ID gets the same service
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -8,11 +8,11 @@
 	for _, prefix := range prefixes {
 		all = append(all, Route{Name: prefix, Host: "a.example", Prefix: prefix, Kind: Safe, Targets: []Target{{"app", 1}}})
 	}
-	accounts := make(map[string]*ClientAccount)
+	apiKeys := APIKeys{Required: keys != nil, Accounts: make(map[string]*ClientAccount)}
 	for _, key := range keys {
-		accounts[key] = &ClientAccount{Name: "acme"}
+		apiKeys.Accounts[key] = &ClientAccount{Name: "acme"}
 	}
-	table, err := Build(version, Limits{}, all, []Service{{Name: "app"}}, accounts)
+	table, err := Build(version, Limits{}, all, []Service{{Name: "app"}}, apiKeys)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,7 +42,7 @@
 		"no target service": {Name: "r", Prefix: "/a/"},
 		"unknown service":   {Name: "r", Prefix: "/a/", Targets: []Target{{"other", 1}}},
 	} {
-		if _, err := Build(1, Limits{}, []Route{r}, []Service{{Name: "app"}}, nil); err == nil {
+		if _, err := Build(1, Limits{}, []Route{r}, []Service{{Name: "app"}}, APIKeys{}); err == nil {
 			t.Errorf("%s: table accepted, want an error", name)
 		}
 	}
