--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -156,6 +156,9 @@
 	if kind == origin.OneVersion && len(req.route.Targets) > 1 {
 		began, kind = origin.Origin{}, origin.Unknown // the stream may have begun at another service
 	}
+	if kind == origin.OneVersion && !s.deps.View.ConfirmSoleVersion(ctx, began.Service, began.SoftwareVersion, q.Span) {
+		began, kind = origin.Origin{}, origin.Unconfirmed
+	}
 	s.metrics.takenUp(kind.String())
 	req.log.WithFields(logrus.Fields{
 		"event": "stream_taken_up", "route": req.route.Name, "resumes": req.Resumes, "resume_after": req.ResumeAfter, "stream": q.Key.String(),
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -90,6 +90,8 @@
 	relisted chan struct{}
 	// refreshes lets concurrent calls of Refresh share one read of the store.
 	refreshes singleflight.Group
+	// versionReads lets concurrent calls of ConfirmSoleVersion share one read of the store.
+	versionReads singleflight.Group
 	// refreshFailedAt is when a refresh last failed, in nanoseconds of the clock
 	// elapsed; zero if never.
 	refreshFailedAt atomic.Int64
@@ -128,16 +130,6 @@
 	return v.elapsed() - time.Duration(at)
 }
 
-// SoleVersion returns whether all servers of the service had the same software version
-// during the span before now, and which one. It does not know if the view is old.
-func (v *View) SoleVersion(service string, span time.Duration) (string, directory.Versions) {
-	version, versions := v.directory.SoleVersion(time.Unix(0, int64(v.elapsed())), service, span)
-	if versions == directory.OneVersion && v.Age() > maxVersionsViewAge {
-		return "", directory.VersionsUnknown
-	}
-	return version, versions
-}
-
 // Unreachable reports whether the last read of the configuration for which a request waited has
 // failed, and none has succeeded since.
 func (v *View) Unreachable() bool {
--- a/origin/answer.go
+++ b/origin/answer.go
@@ -24,14 +24,16 @@
 // Kinds of answers. Unknown: the gateway has no record, and does not know which versions have
 // served during the span. Recorded: it has a record. OneVersion: it has none, but all servers
 // of the service had the same version during the span. SeveralVersions: they had several.
+// Unconfirmed is not sent: the store, read again, does not confirm OneVersion.
 const (
 	Unknown AnswerKind = iota
 	Recorded
 	OneVersion
 	SeveralVersions
+	Unconfirmed
 )
 
-var answerNames = [...]string{Unknown: "unknown", Recorded: "recorded", OneVersion: "one_version", SeveralVersions: "several_versions"}
+var answerNames = [...]string{Unknown: "unknown", Recorded: "recorded", OneVersion: "one_version", SeveralVersions: "several_versions", Unconfirmed: "unconfirmed"}
 
 // String returns the kind as text for logs.
 func (k AnswerKind) String() string { return answerNames[k] }
@@ -51,7 +53,7 @@
 			sole = append(sole, a.Origin)
 		case SeveralVersions:
 			several = true
-		case Unknown:
+		case Unknown, Unconfirmed:
 		}
 	}
 	switch {
