--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -354,6 +354,7 @@
 		Head: s.deps.Codec.EncodeHead(req.in, req.RequestInfo, active.server.Address, active.info), Body: req.in.Body,
 		MaxConnections: s.connectionLimit(req),
 		MatchesRequest: func(h http.Header) bool { return s.deps.Codec.Matches(requestInfo, h) },
+		Identified:     s.deps.Codec.Identified,
 		Admit: func() bool {
 			admitted := s.admitSend(req, active)
 			if admitted {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,6 +117,8 @@
 	EncodeHead(r *ingress.Request, info *RequestInfo, address string, attempt *AttemptInfo) []byte
 	// Matches reports whether a response with the header belongs to the request.
 	Matches(info *RequestInfo, header http.Header) bool
+	// Identified reports whether a response with these headers names its request.
+	Identified(header http.Header) bool
 	// DecodeResponse decodes the metadata in the head of a response.
 	DecodeResponse(status int, header http.Header) ResponseInfo
 	// ForwardedHeader returns the header fields of a response that are forwarded
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -6,7 +6,8 @@
 // NotSent reports true; and that a request is never sent on a connection on which
 // unread bytes have arrived. A further response to an earlier request of the
 // connection, which arrives later, is skipped. A connection returns to the pool only
-// after the request was written completely and the response was read completely.
+// after the request was written completely and the response, which names its request, was read
+// completely.
 package upstream
 
 import (
@@ -155,6 +156,10 @@
 	// MatchesRequest, if set, reports whether a response with these headers
 	// belongs to this request.
 	MatchesRequest func(http.Header) bool
+	// Identified, if set, reports whether a response with these headers names its request. A
+	// server may send a response again, and one that does not name its request could not be
+	// told from a response to the next request, so its connection is not reused.
+	Identified func(http.Header) bool
 	// OnLateResponse, if set, is called with the head of a response that arrives within
 	// lateResponseTime after the context of Do has ended.
 	OnLateResponse func(status int, header http.Header)
@@ -178,6 +183,8 @@
 	Response *http.Response
 	// headRead is true if the head of the response was read.
 	headRead atomic.Bool
+	// unidentified is true if the response does not name its request.
+	unidentified bool
 	// complete is true if the response was read to its end.
 	complete bool
 	// closed is true if the exchange no longer owns the connection.
@@ -284,6 +291,7 @@
 		}
 		if r.MatchesRequest == nil || r.MatchesRequest(resp.Header) {
 			e.Response = resp
+			e.unidentified = r.Identified != nil && !r.Identified(resp.Header)
 			e.conn.answered = nil
 			if r.Method != http.MethodHead {
 				e.conn.answered = r.MatchesRequest
@@ -364,7 +372,7 @@
 	if e.closed {
 		return
 	}
-	if !e.complete || e.Response.Close || e.unframed() {
+	if !e.complete || e.Response.Close || e.unframed() || e.unidentified {
 		e.Abort()
 		return
 	}
