--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -65,6 +65,9 @@
 	resultDelivered: "delivered", resultNotSent: "unsent", resultConnectionLimit: "full", resultWithheld: "withheld", resultNotRun: "not_run", resultMayHaveRun: "may_have_run", resultStalled: "stalled", resultCallerDisconnected: "hung_up", resultDeadlineExceeded: "timed_out",
 }
 
+// unsent reports whether no byte of the request was sent.
+func (r attemptResult) unsent() bool { return r == resultNotSent || r == resultWithheld }
+
 // chosenServer is the backend server chosen for an attempt.
 type chosenServer struct {
 	server *directory.BackendServer
@@ -125,7 +128,7 @@
 			s.finishUnsuccessful(req, fwd, reasonDeadline)
 			return
 		}
-		if result == resultWithheld && req.lostToken() {
+		if s.mayChooseAgain(req, result, chosen.server) {
 			continue
 		}
 		req.excluded[chosen.server.ID] = true
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"github.com/sirupsen/logrus"
+
 	"github.com/sesameswitch/sesameswitch/directory"
 	"github.com/sesameswitch/sesameswitch/routing"
 )
@@ -39,6 +41,29 @@
 	return chosen, true
 }
 
+// mayChooseAgain reports whether the backend server of an attempt that was not sent may be chosen
+// again.
+func (s *Server) mayChooseAgain(req *request, result attemptResult, chosen *directory.BackendServer) bool {
+	if result == resultWithheld && req.lostToken() {
+		return true
+	}
+	return result.unsent() && s.restarted(req, chosen)
+}
+
+// restarted reports whether the directory now has another incarnation of a backend server that
+// was chosen before, so that the server may be chosen again: its entry has changed between the
+// choice and the attempt. It returns true maxAttempts times for a request at most.
+func (s *Server) restarted(req *request, chosen *directory.BackendServer) bool {
+	for _, b := range s.deps.Directory.Usable(req.service.Name) {
+		if b.ID == chosen.ID && (b.StartedAtMs != chosen.StartedAtMs || b.Address != chosen.Address) && req.rechosen < maxAttempts {
+			req.rechosen++
+			req.log.WithFields(logrus.Fields{"event": "server_restarted", "server": b.ID, "started_at_ms": b.StartedAtMs, "previous": chosen.StartedAtMs}).Info("the chosen backend server has restarted; nothing was sent, choosing again")
+			return true
+		}
+	}
+	return false
+}
+
 // usable returns the usable backend servers for a request; nil if its service is not known.
 func (s *Server) usable(req *request) []*directory.BackendServer {
 	if req.service == nil || req.service.ColdRate <= 0 {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -202,6 +202,9 @@
 	// the attempts that found no token of a cold server any more.
 	withheld     string
 	coldWithheld int
+	// rechosen counts the attempts whose server was found to have restarted before anything
+	// was sent.
+	rechosen int
 	// moved reports whether an attempt was moved because it made no progress.
 	moved bool
 	log   *logrus.Entry
