--- a/gateway/originreports.go
+++ b/gateway/originreports.go
@@ -41,8 +41,22 @@
 	ApplyOriginAnswer(from string, a origin.Answer)
 }
 
-// sendOrigins informs the holders of streams where these began, at once, until the context
-// ends: the callers of a gateway that is killed next take their streams up.
+// ReportOrigins implements OriginAsker. The caller of a gateway that is killed next takes its
+// stream up, so it must not get the first event before.
+func (p *Peers) ReportOrigins() {
+	conn := p.conn.Load()
+	if conn == nil {
+		return // sendOrigins follows
+	}
+	p.reporting.Lock()
+	defer p.reporting.Unlock()
+	p.reportOrigins(conn, p.Origins.TakeOriginReports(), func(key origin.Key) []string {
+		return append(p.gatewayHolders(key, originHolders), origin.FirstHolders(key, p.vmHolders(), originHolders)...)
+	})
+}
+
+// sendOrigins reports, until the context ends, the streams that began before this gateway had a
+// connection.
 func (p *Peers) sendOrigins(ctx context.Context, conn *net.UDPConn) {
 	if p.Origins == nil {
 		return
@@ -53,10 +67,7 @@
 		case <-ctx.Done():
 			return
 		case <-p.Origins.OriginsChanged():
-			reports := p.Origins.TakeOriginReports()
-			p.reportOrigins(conn, reports, func(key origin.Key) []string {
-				return append(p.gatewayHolders(key, originHolders), origin.FirstHolders(key, p.vmHolders(), originHolders)...)
-			})
+			p.ReportOrigins()
 		}
 	}
 }
--- a/gateway/originreports_test.go
+++ b/gateway/originreports_test.go
@@ -84,10 +84,15 @@
 type silentAsker struct {
 	holders []string
 	asked   int
+	// reports counts the reports that were sent.
+	reports int
+	server  *Server
 }
 
 func (a *silentAsker) OriginHolders(origin.Key) []string { return a.holders }
 
+func (a *silentAsker) ReportOrigins() { a.reports += len(a.server.TakeOriginReports()) }
+
 func (a *silentAsker) AskOrigin(_ origin.Question, targets []string) { a.asked += len(targets) }
 
 // TestUnansweredQuestionEnds checks that a question is repeated once to the gateways that have
@@ -102,6 +107,22 @@
 	s.ApplyOriginAnswer("10.0.0.2:80", origin.Answer{Key: q.Key, Kind: origin.SeveralVersions}) // too late
 }
 
+// TestOriginIsReportedAfterFirstEvent guards against a caller that has got the first event of a
+// stream before other gateways and holders are informed of where it began: if the gateway is killed
+// then, nobody can let the stream go on.
+func TestOriginIsReportedAfterFirstEvent(t *testing.T) {
+	s := &Server{deps: Dependencies{Clock: clock.New()}, origins: origin.NewRegister()}
+	asker := &silentAsker{server: s}
+	s.deps.Origins = asker
+	s.recordOrigin(&request{
+		RequestInfo: &RequestInfo{ID: "a"}, route: &routes.Route{Kind: routes.Stream, Resumable: true}, service: &routes.Service{Name: "llm"},
+		continuation: &continuation{softwareVersion: "v1"},
+	})
+	if asker.reports != 1 {
+		t.Errorf("%d reports were sent when the event is forwarded, want 1", asker.reports)
+	}
+}
+
 // TestAnswersEndQuestion checks that a question ends with the first record or the last answer,
 // that a repeated answer counts once, and that callers who ask at the same time share it.
 func TestAnswersEndQuestion(t *testing.T) {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -187,6 +187,9 @@
 	// Origins, if set before Run, exchanges where streams began, Evacuations which data centres
 	// are evacuated.
 	Origins OriginExchange
+	// reporting serializes the reports of where streams began, so that each caller of
+	// ReportOrigins waits for its own.
+	reporting sync.Mutex
 	// OriginHolderAddresses, if set before Run, returns the addresses of the processes beside
 	// backend servers that hold where streams began, sorted.
 	OriginHolderAddresses func() []string
--- a/gateway/takeup.go
+++ b/gateway/takeup.go
@@ -28,12 +28,14 @@
 	maxVersionsViewAge = maxRetiredViewAge
 )
 
-// OriginAsker asks other gateways where a stream began. Their answers are passed to
-// ApplyOriginAnswer of the Server.
+// OriginAsker informs other gateways of where streams began, and asks them. Their answers are passed
+// to ApplyOriginAnswer of the Server.
 type OriginAsker interface {
 	// OriginHolders returns the addresses of the gateways that may know it.
 	OriginHolders(key origin.Key) []string
 	AskOrigin(q origin.Question, targets []string)
+	// ReportOrigins sends the new reports of OriginExchange before it returns.
+	ReportOrigins()
 }
 
 // inquiry is a question to other gateways.
@@ -227,6 +229,9 @@
 	s.origins.Began(s.deps.Clock.Now(), origin.Report{
 		Key: req.streamKey(), Origin: origin.Origin{Service: req.service.Name, SoftwareVersion: req.continuation.softwareVersion}, Keep: req.streamLifetime() + originMargin,
 	})
+	if s.deps.Origins != nil {
+		s.deps.Origins.ReportOrigins()
+	}
 }
 
 // OriginsChanged implements OriginExchange.
