--- a/node/background.go
+++ b/node/background.go
@@ -51,13 +51,26 @@
 			Rand: newRand(), Timing: configsync.DefaultTiming(),
 		}),
 		updater: membership.NewUpdater(membership.UpdaterConfig{
-			Table: n.Members, Source: httpprovider.NewVMLister(n.Settings.VMListURL),
+			Table: n.Members, Source: n.newVMLister(),
 			Peers: n.Peers, Clock: n.Clock,
 			Rand: newRand(), Timing: membership.DefaultTiming(),
 		}),
 	}
 }
 
+// newVMLister returns a lister that logs entries which cannot be decoded, each error once.
+func (n *Node) newVMLister() *httpprovider.VMLister {
+	lister := httpprovider.NewVMLister(n.Settings.VMListURL)
+	last := ""
+	lister.OnInvalid = func(err error) { // called by the updater only
+		if err.Error() != last {
+			last = err.Error()
+			n.Log.WithError(err).Warn("undecodable entry of the VM list ignored")
+		}
+	}
+	return lister
+}
+
 func newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
--- a/provider/httpprovider/platform_test.go
+++ b/provider/httpprovider/platform_test.go
@@ -4,7 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -106,6 +110,28 @@
 	}
 }
 
+// TestOddVMEndsList guards against an entry of another writer that keeps processes from following
+// the list of VMs.
+func TestOddVMEndsList(t *testing.T) {
+	for name, odd := range map[string]string{
+		"nested": strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000), "text": `"vm"`, "null": "null", "name of another type": `{"name":5}`,
+		"number too large": `{"name":"b","address":1e400}`, "address of another type": `{"name":"b","address":["127.0.0.1"]}`,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `[{"name":"a","state":"live"},`+odd+`,{"name":"c","state":"leaving"}]`) // the list is short then
+		}))
+		invalid := 0
+		lister := httpprovider.NewVMLister(server.URL)
+		lister.OnInvalid = func(error) { invalid++ }
+		vms, err := lister.List(context.Background())
+		server.Close()
+		vms = slices.DeleteFunc(vms, func(vm provider.VM) bool { return vm.Name == "" })
+		if err != nil || len(vms) != 2 || vms[0].Name != "a" || vms[1].Name != "c" || invalid == 0 && name != "null" {
+			t.Errorf("%s: got VMs %+v, error %v, %d invalid entries", name, vms, err, invalid)
+		}
+	}
+}
+
 func TestEngineExecutesCommandsAndReportsLoad(t *testing.T) {
 	for _, checkFence := range []bool{true, false} {
 		settings := engine.DefaultSettings()
