--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -68,6 +68,9 @@
 	status int
 	header http.Header
 	body   []byte
+	// length is that of the body or, in response to a HEAD request, the one that the backend
+	// server stated; negative if it is unknown.
+	length int64
 }
 
 func newResponseForwarder(s *Server, req *request) *responseForwarder {
@@ -125,17 +128,32 @@
 		return resultMayHaveRun, err
 	}
 	if !success {
-		return f.forwardOrKeepFailure(&failureResponse{response.StatusCode, f.server.deps.Codec.ForwardedHeader(response.Header), body}, info, complete)
+		return f.forwardOrKeepFailure(&failureResponse{response.StatusCode, f.server.deps.Codec.ForwardedHeader(response.Header), body, f.lengthOf(response, body)}, info, complete)
 	}
 	f.firstByteAfter = f.server.sinceReceived(f.req)
 	if complete {
 		active.watch.recordFirst(f.server.deps.Clock.Now())
-		f.recordCompletion(f.req.out.WriteResponse(response.StatusCode, f.server.deps.Codec.ForwardedHeader(response.Header), body))
+		f.recordCompletion(f.writeComplete(response, body))
 		return resultDelivered, nil
 	}
 	return f.forwardRest(ex, body, active)
 }
 
+// writeComplete sends a complete response.
+func (f *responseForwarder) writeComplete(response *http.Response, body []byte) bool {
+	f.req.out.WriteHead(response.StatusCode, f.server.deps.Codec.ForwardedHeader(response.Header), f.lengthOf(response, body))
+	return f.req.out.End(body)
+}
+
+// lengthOf returns the length that the head of a complete response states: in response to a HEAD
+// request, which has no body, the one that the backend server stated.
+func (f *responseForwarder) lengthOf(response *http.Response, body []byte) int64 {
+	if f.req.in.Method == http.MethodHead {
+		return response.ContentLength
+	}
+	return int64(len(body))
+}
+
 // readBuffered reads up to maxBufferedBytes of a response. complete is true only
 // if the response is shorter.
 func (f *responseForwarder) readBuffered(ex io.Reader) (body []byte, complete bool, err error) {
@@ -203,7 +221,8 @@
 	}
 	log.WithFields(logrus.Fields{"event": "answer_failed", "no_answer": f.server.recordNoAnswer(f.req, reason, true), "route": f.req.route.Name, "status": f.failure.status, "after_ms": f.server.sinceReceived(f.req).Milliseconds(), "sends": f.req.attempts}).Info("failure response of the backend server forwarded")
 	f.server.metrics.failed(f.req.route.Name)
-	f.req.out.WriteResponse(f.failure.status, f.failure.header, f.failure.body)
+	f.req.out.WriteHead(f.failure.status, f.failure.header, f.failure.length)
+	f.req.out.End(f.failure.body)
 }
 
 func (f *responseForwarder) buffer() []byte {
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -63,6 +63,8 @@
 	// idle is true while the connection waits for the first byte of a request after its
 	// first one.
 	idle atomic.Bool
+	// headRequest is true if the request that was read last begins as a HEAD request.
+	headRequest bool
 	// used is true when the first request is complete.
 	used atomic.Bool
 }
@@ -71,6 +73,9 @@
 	return &conn{server: s, nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}
 }
 
+// headMethod begins a HEAD request.
+const headMethod = http.MethodHead + " "
+
 // errHeadTooLarge is returned for a request head above the size limit.
 var errHeadTooLarge = errors.New("ingress: request head too large")
 
@@ -114,6 +119,8 @@
 func (c *conn) readRequest(limits Limits) (*Request, *Refusal) {
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	head, err := c.head(limits.HeaderBytes)
+	method, _ := c.br.Peek(min(len(headMethod), c.br.Buffered()))
+	c.headRequest = string(method) == headMethod
 	switch {
 	case errors.Is(err, errHeadTooLarge):
 		return nil, &Refusal{http.StatusRequestHeaderFieldsTooLarge, "the head is too large"}
@@ -201,7 +208,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	watch := c.watch(cancel)
-	w := &ResponseWriter{conn: c, ctx: ctx, keepAlive: !req.Close}
+	w := &ResponseWriter{conn: c, ctx: ctx, keepAlive: !req.Close, toHead: c.headRequest}
 	c.server.cfg.Handle(ctx, req, w)
 	connected := watch.stop()
 	return w.reusable() && connected
@@ -245,7 +252,7 @@
 	if c.server.cfg.OnRefusal != nil {
 		c.server.cfg.OnRefusal(r)
 	}
-	w := &ResponseWriter{conn: c, ctx: context.Background()}
+	w := &ResponseWriter{conn: c, ctx: context.Background(), toHead: c.headRequest}
 	w.WriteResponse(r.Status, http.Header{"Content-Type": {"text/plain; charset=utf-8"}}, []byte(r.Reason+"\n"))
 	if tcp, ok := c.nc.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite() // the caller may already have closed the connection
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -33,6 +33,10 @@
 	// remaining is the number of body bytes still to be written with
 	// framingLength.
 	remaining int64
+	// toHead is true if the request was a HEAD request, whose response has no body.
+	toHead bool
+	// bodiless is true if the response has no body, whatever its head states.
+	bodiless bool
 	// complete is true if the end of the body was written or buffered.
 	complete bool
 	// failed is true if a write to the connection failed.
@@ -52,7 +56,9 @@
 func (w *ResponseWriter) CallerLeft() bool { return w.ctx.Err() != nil }
 
 // WriteHead buffers the head of the response. A negative length means that the
-// length is unknown; the body is then sent in chunks.
+// length is unknown; the body is then sent in chunks. The response to a HEAD request and one with
+// status 204 or 304 have no body: what is written of it is dropped. The head of the response to
+// a HEAD request states the length.
 func (w *ResponseWriter) WriteHead(status int, header http.Header, length int64) {
 	if w.Started() {
 		panic("ingress: response head written twice")
@@ -70,9 +76,13 @@
 		}
 	}
 	w.framing, w.remaining = framingLength, length
-	if length >= 0 {
+	lacksLength := status == http.StatusNoContent || status == http.StatusNotModified || w.toHead && length < 0
+	w.bodiless = lacksLength || w.toHead
+	switch {
+	case lacksLength:
+	case length >= 0:
 		w.buf.WriteString("Content-Length: " + strconv.FormatInt(length, 10) + "\r\n")
-	} else {
+	default:
 		w.framing = framingChunked
 		w.buf.WriteString("Transfer-Encoding: chunked\r\n")
 	}
@@ -91,7 +101,7 @@
 
 // bufferBody appends part of the body to the buffer.
 func (w *ResponseWriter) bufferBody(p []byte) {
-	if len(p) == 0 {
+	if len(p) == 0 || w.bodiless {
 		return
 	}
 	if w.framing == framingLength {
@@ -116,7 +126,7 @@
 	if w.framing == framingChunked {
 		w.buf.WriteString("0\r\n\r\n")
 	}
-	w.complete = w.framing == framingChunked || w.remaining == 0
+	w.complete = w.framing == framingChunked || w.remaining == 0 || w.bodiless
 	return w.flush()
 }
 
