--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,7 +188,8 @@
 	List(ctx context.Context) (*Snapshot, error)
 	// Watch returns the changes after the revision. If there are none, it
 	// returns an empty Delta after the wait. It fails with ErrCompacted if the
-	// store no longer has all changes after the revision.
+	// store no longer has all changes after the revision, and with ErrUnreadable if
+	// the answer is too large or cannot be decoded.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*Delta, error)
 	// Configuration reads the current configuration.
 	Configuration(ctx context.Context) (*ConfigurationRead, error)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -20,6 +20,10 @@
 // watch should start.
 var ErrCompacted = errors.New("gateway: the store no longer has the history after the requested revision")
 
+// ErrUnreadable reports that the store has answered a call and that the answer could not be read
+// completely, or not be decoded.
+var ErrUnreadable = errors.New("gateway: the answer of the store cannot be read")
+
 const (
 	// watchIntervalShare is the interval between the starts of two watches, as a part
 	// of the time within which a configuration must be applied. A fleet of hundreds
@@ -301,6 +305,12 @@
 		v.recordResponse()
 		return v.list(ctx)
 	}
+	if errors.Is(err, ErrUnreadable) {
+		// The same watch would be answered with the same changes and more.
+		v.log.WithError(err).WithFields(logrus.Fields{"event": "watch_unreadable", "after": v.directory.Revision()}).Warn("the answer to a watch cannot be read; listing again")
+		v.observeError(err)
+		return v.list(ctx)
+	}
 	if err != nil {
 		return err
 	}
