--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -257,6 +257,9 @@
 	if active.withheld != "" {
 		fields["reason"] = active.withheld
 	}
+	if active.unidentified {
+		fields["unidentified"] = true
+	}
 	if active.askedPause > 0 {
 		fields["asked_pause_ms"] = active.askedPause.Milliseconds()
 	}
@@ -319,6 +322,8 @@
 	broken bool
 	// askedPause is the pause that the response asked for; zero if it asked for none.
 	askedPause time.Duration
+	// unidentified reports whether the response did not name its request.
+	unidentified bool
 }
 
 // exchange sends the request of an attempt and forwards its response, and moves the attempt
@@ -380,7 +385,7 @@
 		return resultMayHaveRun, err
 	}
 	req.attempts++
-	fwd.status = ex.Response.StatusCode
+	fwd.status, active.unidentified = ex.Response.StatusCode, ex.Unidentified()
 	info := s.deps.Codec.DecodeResponse(ex.Response.StatusCode, ex.Response.Header)
 	if info.LoadKnown {
 		s.deps.Scheduler.ReportLoad(s.deps.Clock.Now(), active.server.ID, info.Running, info.Waiting)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -354,6 +354,10 @@
 	return n, nil
 }
 
+// Unidentified reports whether the response does not name its request, so that the connection is
+// not reused.
+func (e *Exchange) Unidentified() bool { return e.unidentified }
+
 // Abort closes the connection. It does nothing if the connection was already closed
 // or returned to the pool.
 func (e *Exchange) Abort() {
