--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -157,37 +157,6 @@
 	})
 }
 
-// holdForToken decides whether a request for which all servers are cold and without a token
-// is held, in the same way as for a full server, or refused. A request that may have run is
-// held until its deadline.
-func (s *Server) holdForToken(req *request, fwd *responseForwarder, chosen chosenServer) admission.GateDecision {
-	now := s.deps.Clock.Now()
-	wait, remaining := s.allowance(now, chosen.server).At.Sub(now), req.deadline.Sub(now)
-	if fwd.started || req.runs > 0 {
-		return admission.GateDecision{Action: admission.GateHold, Delay: coldHoldInterval}
-	}
-	d := admission.Gate{}.Decide(admission.GateRequest{
-		Full: true, Waited: s.sinceReceived(req), Remaining: remaining, LatencyTarget: req.route.LatencyTarget, ExpectedWait: wait, FleetWait: remaining, Random: s.random(),
-	})
-	if d.Action == admission.GateSend { // the gate would now send it to a full server
-		d.Action = admission.GateRefuse
-	}
-	return d
-}
-
-// coldHoldInterval is the time between two checks of a held request that may have run.
-const coldHoldInterval = 20 * time.Millisecond
-
-// lostToken reports whether another request took the token for which the last attempt was
-// chosen, so that the server may be chosen again.
-func (req *request) lostToken() bool {
-	if req.withheld != withheldCold {
-		return false
-	}
-	req.coldWithheld++
-	return req.coldWithheld <= maxColdWithheld
-}
-
 // refuseForCapacity refuses a request for which no engine has capacity.
 func (s *Server) refuseForCapacity(req *request, chosen chosenServer, retryAfter time.Duration) {
 	s.metrics.noCapacity.Inc(1)
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/sesameswitch/sesameswitch/admission"
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/directory"
 	"github.com/sesameswitch/sesameswitch/limit"
@@ -236,3 +237,34 @@
 	}
 	return true
 }
+
+// holdForToken decides whether a request for which all servers are cold and without a token
+// is held, in the same way as for a full server, or refused. A request that may have run is
+// held until its deadline.
+func (s *Server) holdForToken(req *request, fwd *responseForwarder, chosen chosenServer) admission.GateDecision {
+	now := s.deps.Clock.Now()
+	wait, remaining := s.allowance(now, chosen.server).At.Sub(now), req.deadline.Sub(now)
+	if fwd.started || req.runs > 0 {
+		return admission.GateDecision{Action: admission.GateHold, Delay: coldHoldInterval}
+	}
+	d := admission.Gate{}.Decide(admission.GateRequest{
+		Full: true, Waited: s.sinceReceived(req), Remaining: remaining, LatencyTarget: req.route.LatencyTarget, ExpectedWait: wait, FleetWait: remaining, Random: s.random(),
+	})
+	if d.Action == admission.GateSend { // the gate would now send it to a full server
+		d.Action = admission.GateRefuse
+	}
+	return d
+}
+
+// coldHoldInterval is the time between two checks of a held request that may have run.
+const coldHoldInterval = 20 * time.Millisecond
+
+// lostToken reports whether another request took the token for which the last attempt was
+// chosen, so that the server may be chosen again.
+func (req *request) lostToken() bool {
+	if req.withheld != withheldCold {
+		return false
+	}
+	req.coldWithheld++
+	return req.coldWithheld <= maxColdWithheld
+}
--- a/gateway/view_watch.go
+++ b/gateway/view_watch.go
@@ -130,12 +130,12 @@
 		if v.lastResponseAt > 0 {
 			away = now - v.lastResponseAt
 		}
-		longest := max(minOutage, directory.LeaseExpiryOutage(v.heartbeat()))
-		expired := away > longest
+		leaseOutage := max(minOutage, directory.LeaseExpiryOutage(v.heartbeat()))
+		expired := away > leaseOutage
 		if expired {
 			v.directory.StoreRecovered(time.Unix(0, int64(now)))
 		}
-		v.log.WithFields(logrus.Fields{"event": "store_regained", "away_ms": away.Milliseconds(), "leases_expired": expired, "lease_outage_ms": longest.Milliseconds()}).Info("store available")
+		v.log.WithFields(logrus.Fields{"event": "store_regained", "away_ms": away.Milliseconds(), "leases_expired": expired, "lease_outage_ms": leaseOutage.Milliseconds()}).Info("store available")
 		v.unavailable = false
 	}
 	v.lastResponseAt = now
