--- a/directory/directory.go
+++ b/directory/directory.go
@@ -171,7 +171,8 @@
 	return d.revision
 }
 
-// StoreRecovered records that the store responds again after an outage.
+// StoreRecovered records that the store responds again after an outage in which leases may have
+// expired, which was not shorter than LeaseExpiryOutage.
 func (d *Directory) StoreRecovered(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/gateway/view_versions.go
+++ b/gateway/view_versions.go
@@ -43,8 +43,8 @@
 		}
 	}
 	// What the read lacks was applied before it, perhaps after the caller's conclusion.
-	now, versions := v.directory.SoleVersion(time.Unix(0, int64(v.elapsed())), service, span)
-	return versions == directory.VersionsUnknown || versions == directory.OneVersion && now == version
+	sole, versions := v.directory.SoleVersion(time.Unix(0, int64(v.elapsed())), service, span)
+	return versions == directory.VersionsUnknown || versions == directory.OneVersion && sole == version
 }
 
 // readVersions reads the changes that the view has not applied. The read, which several callers
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -158,7 +158,7 @@
 	MatchesRequest func(http.Header) bool
 	// Identified, if set, reports whether a response with these headers names its request. A
 	// server may send a response again, and one that does not name its request could not be
-	// told from a response to the next request, so its connection is not reused.
+	// distinguished from a response to the next request, so its connection is not reused.
 	Identified func(http.Header) bool
 	// OnLateResponse, if set, is called with the head of a response that arrives within
 	// lateResponseTime after the context of Do has ended.
