--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -193,6 +193,8 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*Delta, error)
 	// Configuration reads the current configuration.
 	Configuration(ctx context.Context) (*ConfigurationRead, error)
+	// Probe makes a cheap call. Its error is nil if the store has answered it.
+	Probe(ctx context.Context) error
 	// CloseIdleConnections closes the connections that no call uses, so that the next call
 	// opens a new one.
 	CloseIdleConnections()
--- a/gateway/view_era_test.go
+++ b/gateway/view_era_test.go
@@ -106,6 +106,8 @@
 
 func (s *modelStore) CloseIdleConnections() {}
 
+func (s *modelStore) Probe(context.Context) error { return nil }
+
 func (s *modelStore) List(context.Context) (*Snapshot, error) {
 	state, era := s.answer()
 	snapshot := &Snapshot{Era: era, Revision: state.revision, Table: modelTable(state.version)}
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -25,6 +25,8 @@
 
 func (s *renewingStore) CloseIdleConnections() {}
 
+func (s *renewingStore) Probe(context.Context) error { return nil }
+
 func (s *renewingStore) List(context.Context) (*Snapshot, error) {
 	s.calls.Add(1)
 	return &Snapshot{Revision: s.revision.Load()}, nil
--- a/gateway/view_watch.go
+++ b/gateway/view_watch.go
@@ -21,12 +21,12 @@
 	// watchTimeout limits one watch: it may take longer than watchWait because of a slow
 	// store or a lost packet.
 	watchTimeout = 2400 * time.Millisecond
-	// repeatAfter is how much later than expected an answer may be before the store is
-	// called again on a new connection, and repeatInterval the time between such calls.
-	repeatAfter    = 300 * time.Millisecond
-	repeatInterval = 600 * time.Millisecond
-	// maxRepeats is the number of calls that can be repeated within watchTimeout.
-	maxRepeats = int(watchTimeout/repeatInterval) + 1
+	// probeAfter is how much later than expected an answer may be before the store is probed
+	// on a new connection, and probeInterval the time between such probes.
+	probeAfter    = 300 * time.Millisecond
+	probeInterval = 600 * time.Millisecond
+	// maxProbes is the number of probes within watchTimeout.
+	maxProbes = int(watchTimeout/probeInterval) + 1
 	// latenessFactor allows an answer to be later than the last one by this factor.
 	latenessFactor = 1.5
 	// reconnectTime is the time in which a store that responds answers on a new connection.
@@ -37,7 +37,7 @@
 )
 
 // errUnanswered reports that the store has not answered a call in time; the call goes on.
-var errUnanswered = eris.New("gateway: the store has not answered a watch in time; repeated on a new connection")
+var errUnanswered = eris.New("gateway: the store has not answered a watch in time; probing it on a new connection")
 
 // watchAnswer is the result of one call of Store.Watch.
 type watchAnswer struct {
@@ -57,21 +57,26 @@
 }
 
 // watch waits for changes of the store. It ends early when another call has seen a
-// newer era. A connection can be lost without notice, so a call whose answer is overdue is
-// repeated on a new connection; the first answer to any of the calls counts.
+// newer era. A connection can be lost without notice: when the answer is overdue, the store is
+// probed on new connections, and once it answers a probe, the call is repeated there. The first
+// answer to either call counts. If the store answers probes but neither call, the answer is
+// too large or too slow to be read, and the error is ErrUnreadable.
 func (v *View) watch(ctx context.Context) watchAnswer {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	wait, revision := v.nextWait(), v.directory.Revision()
-	answers := make(chan watchAnswer, 1+maxRepeats)
+	answers, probes := make(chan watchAnswer, 2), make(chan error, maxProbes)
 	go func() { answers <- v.callWatch(ctx, revision, wait) }()
-	overdue := time.NewTimer(wait + repeatAfter + time.Duration(latenessFactor*float64(v.lateness)))
+	overdue := time.NewTimer(wait + probeAfter + time.Duration(latenessFactor*float64(v.lateness)))
 	defer overdue.Stop()
-	for repeats := 0; ; {
+	for repeated := false; ; {
 		select {
 		case answer := <-answers:
-			if answer.err == nil {
+			switch {
+			case answer.err == nil:
 				v.lateness = answer.lateness
+			case repeated && errors.Is(answer.err, context.DeadlineExceeded):
+				answer.err = errors.Join(ErrUnreadable, answer.err)
 			}
 			return answer
 		case <-v.eraChanged:
@@ -79,10 +84,18 @@
 		case <-overdue.C:
 			v.recordFailure(errUnanswered)
 			v.store.CloseIdleConnections()
-			go func() { answers <- v.callWatch(ctx, revision, checkWait) }()
-			if repeats++; repeats < maxRepeats {
-				overdue.Reset(repeatInterval)
+			go func() { probes <- v.store.Probe(ctx) }()
+			overdue.Reset(probeInterval)
+		case err := <-probes:
+			if repeated {
+				continue
+			}
+			if err != nil {
+				return watchAnswer{err: err}
 			}
+			overdue.Stop()
+			repeated = true
+			go func() { answers <- v.callWatch(ctx, revision, checkWait) }()
 		}
 	}
 }
@@ -100,7 +113,7 @@
 		return watchWait
 	}
 	sinceResponse := v.elapsed() - v.lastResponseAt
-	return max(checkWait, min(watchWait, directory.LeaseExpiryOutage(heartbeat)-repeatAfter-reconnectTime-sinceResponse))
+	return max(checkWait, min(watchWait, directory.LeaseExpiryOutage(heartbeat)-probeAfter-reconnectTime-sinceResponse))
 }
 
 // heartbeat returns the heartbeat interval of backend servers; zero if it is not known.
--- a/gateway/view_watch_test.go
+++ b/gateway/view_watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +21,8 @@
 	// lost reports whether the connections are lost; unavailable, whether new ones are not
 	// answered either.
 	lost, unavailable bool
+	// slow reports whether no watch is answered in time.
+	slow bool
 	// changed is closed at the next change.
 	changed chan struct{}
 	// waiting receives a value when a watch begins.
@@ -39,9 +42,15 @@
 }
 
 func (s *lossyStore) List(context.Context) (*Snapshot, error) {
-	return &Snapshot{Revision: 10, ServerChanges: []directory.Change{
-		{ID: "1", Revision: 1, Server: testServer("1")}, {ID: "2", Revision: 2, Server: testServer("2")},
-	}}, nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snapshot := &Snapshot{Revision: s.revision}
+	for i, id := range []string{"1", "2"} {
+		if !slices.ContainsFunc(s.changes, func(c directory.Change) bool { return c.ID == id }) {
+			snapshot.ServerChanges = append(snapshot.ServerChanges, directory.Change{ID: id, Revision: uint64(1 + i), Server: testServer(id)}) //nolint:gosec // small
+		}
+	}
+	return snapshot, nil
 }
 
 func (s *lossyStore) CloseIdleConnections() {
@@ -50,15 +59,25 @@
 	s.lost = s.unavailable
 }
 
+func (s *lossyStore) Probe(ctx context.Context) error {
+	s.mu.Lock()
+	lost := s.lost
+	s.mu.Unlock()
+	if lost {
+		return s.await(ctx)
+	}
+	return nil
+}
+
 func (s *lossyStore) Watch(ctx context.Context, after uint64, wait time.Duration) (*Delta, error) {
 	select {
 	case s.waiting <- struct{}{}:
 	default:
 	}
 	s.mu.Lock()
-	lost, changed := s.lost, s.changed
+	lost, slow, changed := s.lost, s.slow, s.changed
 	s.mu.Unlock()
-	if lost {
+	if lost || slow {
 		return nil, s.await(ctx)
 	}
 	if delta := s.delta(after); len(delta.ServerChanges) > 0 {
@@ -172,6 +191,35 @@
 	}
 }
 
+// TestSlowWatchStopsView guards against a view that asks for the same changes for ever because their
+// answer takes longer than the timeout of a watch, while the store answers other calls.
+func TestSlowWatchStopsView(t *testing.T) {
+	store, dir := newLossyStore(), directory.New()
+	removed := make(chan string, 2)
+	v := NewView(store, dir, clock.SinceBoot, func() time.Duration { return 2 * time.Second }, discardLog(), func(id string) { removed <- id }, func(*routes.Table) {})
+	v.HeartbeatInterval = func() time.Duration { return time.Minute }
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		v.Run(ctx)
+	}()
+	defer func() { cancel(); <-done }()
+	<-store.waiting
+	store.mu.Lock()
+	store.slow = true
+	store.mu.Unlock()
+	store.remove("2", true)
+	select {
+	case id := <-removed:
+		if id != "2" {
+			t.Errorf("server %s was removed, want 2", id)
+		}
+	case <-time.After(30 * time.Second): // only detects a hang
+		t.Error("the removal was not read")
+	}
+}
+
 // TestNextWaitFollowsHeartbeats checks that an answer of the store is due, and a lost connection
 // replaced, within a time in which no outage of the store expires leases.
 func TestNextWaitFollowsHeartbeats(t *testing.T) {
