Test all listeners against crowds that send large or incomplete input

No test has more than a few connections. Change: package crowd starts the programs with small memory limits and opens a fixed number of connections to each of their listeners. It checks that the process lives, its peak memory and descriptors, that refusals are true, and that an ordinary request is answered beside the crowd and after it. The tests run after those of the other packages, one at a time and without the race detector.

--- a/Makefile
+++ b/Makefile
@@ -36,8 +36,9 @@
 
 tools: $(GOLANGCI) $(GOPLS) ## install the linter and gopls (for renaming identifiers) into bin/
 
-unit: ## run all tests with the race detector
-	@$(GO) test -race -count=1 $${SKIP:+-skip "$$SKIP"} ./...
+unit: ## run all tests with the race detector, then those of memory without it
+	@$(GO) test -race -count=1 $${SKIP:+-skip "$$SKIP"} $$($(GO) list ./... | grep -v /crowd$$)
+	@$(GO) test -count=1 $${SKIP:+-skip "$$SKIP"} ./crowd
 
 test: lint build unit ## check formatting, run the linter, build and run all tests
 
--- a/testbed/program.go
+++ b/testbed/program.go
@@ -126,6 +126,9 @@
 // before the first start, and each start replaces it.
 func (p *Program) Exited() <-chan struct{} { return p.exited }
 
+// PID returns the process ID. Call it after Start.
+func (p *Program) PID() int { return p.cmd.Process.Pid }
+
 // Stderr returns the last tailBufferBytes bytes that the process has written to its
 // standard error, over all its starts.
 func (p *Program) Stderr() string { return p.stderr.String() }
