Check the lengths that messages of peers state before decoding them

Callers saw: the gateway was gone, with all requests that it served. One datagram of 9 bytes to the port for other gateways, or to an origin holder, ended the process: out of memory. Cause: the MessagePack decoder allocates lists of structures by the length that the message states (4 G hints of 192 bytes), and text in steps of 1 MB. It also panics at a nil in place of some structures. Change: internal/datagram walks through a message first and refuses it if a list, map or text would be longer than the rest of the message; a panic of the decoder becomes an error. Gateways and holders decode with it. Why it works: what is decoded afterwards is at most as long as the datagram.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -17,6 +17,7 @@
 
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/deployment"
+	"github.com/sesameswitch/sesameswitch/internal/datagram"
 	"github.com/sesameswitch/sesameswitch/originholder"
 	"github.com/sesameswitch/sesameswitch/retry"
 	"github.com/sesameswitch/sesameswitch/routing"
@@ -397,7 +398,7 @@
 			return
 		}
 		var message peerMessage
-		if err := msgpack.Unmarshal(buf[:n], &message); err != nil {
+		if err := datagram.Unmarshal(buf[:n], &message); err != nil {
 			p.log.WithError(err).WithField("event", "hello_unreadable").Debug("undecodable message of a peer gateway ignored")
 			continue
 		}
--- a/originholder/holder.go
+++ b/originholder/holder.go
@@ -23,6 +23,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/sesameswitch/sesameswitch/clock"
+	"github.com/sesameswitch/sesameswitch/internal/datagram"
 	"github.com/sesameswitch/sesameswitch/origin"
 )
 
@@ -110,10 +111,10 @@
 	}
 }
 
-// answer handles one datagram, and sends the answers to the address that its sender states.
-func (h *Holder) answer(conn *net.UDPConn, address string, now time.Time, datagram []byte, log *logrus.Entry) {
+// answer handles the content of one datagram, and sends the answers to the address that its sender states.
+func (h *Holder) answer(conn *net.UDPConn, address string, now time.Time, content []byte, log *logrus.Entry) {
 	var message Message
-	if err := msgpack.Unmarshal(datagram, &message); err != nil {
+	if err := datagram.Unmarshal(content, &message); err != nil {
 		log.WithError(err).WithField("event", "message_unreadable").Debug("undecodable message ignored")
 		return
 	}
@@ -122,10 +123,10 @@
 	if len(answers) == 0 || err != nil {
 		return
 	}
-	content, err := msgpack.Marshal(&Message{From: address, Known: append(answers, Mark)})
-	if err != nil || len(content) > maxDatagramBytes {
-		log.WithError(err).WithFields(logrus.Fields{"event": "answer_failed", "bytes": len(content)}).Warn("answers cannot be encoded or are too large; not sent")
+	reply, err := msgpack.Marshal(&Message{From: address, Known: append(answers, Mark)})
+	if err != nil || len(reply) > maxDatagramBytes {
+		log.WithError(err).WithFields(logrus.Fields{"event": "answer_failed", "bytes": len(reply)}).Warn("answers cannot be encoded or are too large; not sent")
 		return
 	}
-	_, _ = conn.WriteToUDPAddrPort(content, to) // the question is repeated
+	_, _ = conn.WriteToUDPAddrPort(reply, to) // the question is repeated
 }
