Refuse responses of backend servers whose head is not valid HTTP

Callers saw: a response with status 000, or with a field whose name contains a blank, as an answer of a replica; with a blank beside the name of the length or the coding, or with a folded line, also a body that was not the replica's (with the frames of its chunks, or beyond its length). Cause: the parser of net/http takes any three characters that are a number as a status, keeps a name with blanks as another field, and unfolds lines. Change: internal/httphead checks a head before it is parsed: version, status 100 to 599 without 101, names, values, folded lines, one length. Package upstream uses it for final, interim and surplus responses, and checks the names of trailers. A malformed response counts as broken: the request may have run, nothing of the response reaches the caller. Log response_malformed, metric sesame_gateway_malformed_responses_total. Why it works: every head passes one check before anything is concluded from it.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -135,6 +135,7 @@
 	}
 	connectionsOpened := d.metrics.Counter("sesame_gateway_connections_opened_total")
 	oversizedHeads, oversizedLines := d.metrics.Counter("sesame_gateway_oversized_heads_total"), &logInterval{}
+	malformedResponses, malformedLines := d.metrics.Counter("sesame_gateway_malformed_responses_total"), &logInterval{}
 	surplusResponses := d.metrics.Counter("sesame_gateway_surplus_responses_total")
 	d.pool = upstream.New(upstream.Config{
 		OnDial: func(string) { connectionsOpened.Inc(1) },
@@ -144,6 +145,12 @@
 				d.log.WithFields(logrus.Fields{"event": "response_head_too_large", "address": address}).Warn("response head of a backend server exceeds the limit; connection closed")
 			}
 		},
+		OnMalformed: func(address string, err error) {
+			malformedResponses.Inc(1)
+			if malformedLines.due(elapsed()) {
+				d.log.WithError(err).WithFields(logrus.Fields{"event": "response_malformed", "address": address}).Warn("response of a backend server is not valid HTTP; connection closed")
+			}
+		},
 		OnSurplus: func(address string) {
 			surplusResponses.Inc(1)
 			d.log.WithFields(logrus.Fields{"event": "surplus_response", "address": address}).Info("surplus response of a backend server to an earlier request skipped")
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -4,7 +4,8 @@
 // Callers may assume that Do writes a request to one connection only and never
 // retries it; that no byte of a failed request has reached the backend server if
 // NotSent reports true; and that a request is never sent on a connection on which
-// unread bytes have arrived. A further response to an earlier request of the
+// unread bytes have arrived. A response whose head or trailer is malformed is an error. A
+// further response to an earlier request of the
 // connection, which arrives later, is skipped. A connection returns to the pool only
 // after the request was written completely and the response, which names its request, was read
 // completely.
@@ -28,6 +29,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/sesameswitch/sesameswitch/internal/connerror"
+	"github.com/sesameswitch/sesameswitch/internal/httphead"
 )
 
 // Defaults of Config.
@@ -93,6 +95,9 @@
 	MaxHeadBytes int64
 	// OnOversizedHead, if set, is called when a server has exceeded MaxHeadBytes.
 	OnOversizedHead func(address string)
+	// OnMalformed, if set, is called when the head or the trailer of a response of a server is
+	// malformed.
+	OnMalformed func(address string, err error)
 	// OnDial, if set, is called after each new connection.
 	OnDial func(address string)
 	// OnSurplus, if set, is called after each surplus response that was skipped.
@@ -276,15 +281,9 @@
 	e.conn.received.limit(e.pool.cfg.MaxHeadBytes)
 	defer e.conn.received.unlimit()
 	for range maxSkippedResponses {
-		resp, err := http.ReadResponse(e.conn.br, &http.Request{Method: r.Method}) //nolint:bodyclose // closing would read the rest of the body; Release or Abort handles the connection
+		resp, err := e.readHead(r)
 		if err != nil {
-			if e.conn.received.exceeded {
-				if e.pool.cfg.OnOversizedHead != nil {
-					e.pool.cfg.OnOversizedHead(e.conn.address)
-				}
-				return ErrHeadTooLarge
-			}
-			return eris.Wrap(err, "upstream: read response head")
+			return err
 		}
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
 			continue
@@ -311,6 +310,30 @@
 	return eris.New("upstream: too many interim or surplus responses")
 }
 
+// readHead reads and checks one response head.
+func (e *Exchange) readHead(r *Request) (*http.Response, error) {
+	head, err := e.conn.peekHead()
+	if err == nil {
+		err = httphead.CheckResponse(head)
+	}
+	var resp *http.Response
+	if err == nil {
+		resp, err = http.ReadResponse(e.conn.br, &http.Request{Method: r.Method}) //nolint:bodyclose // closing would read the rest of the body; Release or Abort handles the connection
+	}
+	switch {
+	case err == nil:
+		return resp, nil
+	case e.conn.received.exceeded:
+		if e.pool.cfg.OnOversizedHead != nil {
+			e.pool.cfg.OnOversizedHead(e.conn.address)
+		}
+		return nil, ErrHeadTooLarge
+	case errors.Is(err, httphead.ErrMalformed) && e.pool.cfg.OnMalformed != nil:
+		e.pool.cfg.OnMalformed(e.conn.address, err)
+	}
+	return nil, eris.Wrap(err, "upstream: read response head")
+}
+
 // skipBody reads the body of a surplus response to its end. It returns an error
 // if the end cannot be determined: the bytes after it belong to no request.
 func (c *conn) skipBody(resp *http.Response) error {
@@ -345,6 +368,12 @@
 				return n, eris.New("upstream: response without a length ended together with its server")
 			}
 		}
+		if err := httphead.CheckTrailer(e.Response.Trailer); err != nil {
+			if e.pool.cfg.OnMalformed != nil {
+				e.pool.cfg.OnMalformed(e.conn.address, err)
+			}
+			return n, eris.Wrap(err, "upstream: read response trailer")
+		}
 		e.complete = true
 		return n, io.EOF
 	}
