--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -133,11 +133,33 @@
 		}
 		d.metrics.Counter("sesame_gateway_store_answers_ignored_total", "reason", string(verdict)).Inc(1)
 	}
+	d.pool = d.newPool(elapsed)
+	monotonic := clock.New()
+	d.peers = NewPeers(settings, scheduler, monotonic, d.log)
+	liveGateways := d.metrics.Gauge("sesame_gateway_live_gateways")
+	sharingGateways := d.metrics.Gauge("sesame_gateway_sharing_gateways")
+	d.peers.OnCount = func(live, sharing int) {
+		liveGateways.Update(int64(live))
+		sharingGateways.Update(int64(sharing))
+	}
+	d.server = NewServer(Dependencies{
+		Codec: p.Codec, View: d.view, Directory: d.directory, Scheduler: scheduler, Pool: d.pool, Gateways: d.peers, Origins: d.peers, Tokens: d.peers,
+		Clock: monotonic, Elapsed: elapsed, Metrics: d.metrics, Log: d.log, Settings: d.settings.Load, Seed: o.Seed,
+	})
+	d.connectPeers()
+	d.ingress = ingress.New(ingress.Config{
+		Handle: d.handle, Limits: d.limits, CloseAfterResponse: d.closeAfterResponse, OnRefusal: d.onIngressRefusal,
+	})
+	return d, nil
+}
+
+// newPool returns the pool of connections to backend servers, with counters and log lines.
+func (d *Daemon) newPool(elapsed clock.Elapsed) *upstream.Pool {
 	connectionsOpened := d.metrics.Counter("sesame_gateway_connections_opened_total")
 	oversizedHeads, oversizedLines := d.metrics.Counter("sesame_gateway_oversized_heads_total"), &logInterval{}
 	malformedResponses, malformedLines := d.metrics.Counter("sesame_gateway_malformed_responses_total"), &logInterval{}
 	surplusResponses := d.metrics.Counter("sesame_gateway_surplus_responses_total")
-	d.pool = upstream.New(upstream.Config{
+	return upstream.New(upstream.Config{
 		OnDial: func(string) { connectionsOpened.Inc(1) },
 		OnOversizedHead: func(address string) {
 			oversizedHeads.Inc(1)
@@ -156,23 +178,6 @@
 			d.log.WithFields(logrus.Fields{"event": "surplus_response", "address": address}).Info("surplus response of a backend server to an earlier request skipped")
 		},
 	})
-	monotonic := clock.New()
-	d.peers = NewPeers(settings, scheduler, monotonic, d.log)
-	liveGateways := d.metrics.Gauge("sesame_gateway_live_gateways")
-	sharingGateways := d.metrics.Gauge("sesame_gateway_sharing_gateways")
-	d.peers.OnCount = func(live, sharing int) {
-		liveGateways.Update(int64(live))
-		sharingGateways.Update(int64(sharing))
-	}
-	d.server = NewServer(Dependencies{
-		Codec: p.Codec, View: d.view, Directory: d.directory, Scheduler: scheduler, Pool: d.pool, Gateways: d.peers, Origins: d.peers, Tokens: d.peers,
-		Clock: monotonic, Elapsed: elapsed, Metrics: d.metrics, Log: d.log, Settings: d.settings.Load, Seed: o.Seed,
-	})
-	d.connectPeers()
-	d.ingress = ingress.New(ingress.Config{
-		Handle: d.handle, Limits: d.limits, CloseAfterResponse: d.closeAfterResponse, OnRefusal: d.onIngressRefusal,
-	})
-	return d, nil
 }
 
 // connectPeers lets the exchange with other gateways use the components.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -281,7 +281,7 @@
 	e.conn.received.limit(e.pool.cfg.MaxHeadBytes)
 	defer e.conn.received.unlimit()
 	for range maxSkippedResponses {
-		resp, err := e.readHead(r)
+		resp, err := e.readHead(r) //nolint:bodyclose // closing would read the rest of the body; Release or Abort handles the connection
 		if err != nil {
 			return err
 		}
@@ -316,13 +316,13 @@
 	if err == nil {
 		err = httphead.CheckResponse(head)
 	}
-	var resp *http.Response
 	if err == nil {
-		resp, err = http.ReadResponse(e.conn.br, &http.Request{Method: r.Method}) //nolint:bodyclose // closing would read the rest of the body; Release or Abort handles the connection
+		var resp *http.Response
+		if resp, err = http.ReadResponse(e.conn.br, &http.Request{Method: r.Method}); err == nil {
+			return resp, nil
+		}
 	}
 	switch {
-	case err == nil:
-		return resp, nil
 	case e.conn.received.exceeded:
 		if e.pool.cfg.OnOversizedHead != nil {
 			e.pool.cfg.OnOversizedHead(e.conn.address)
