Check the heads of the store's answers before they are parsed

Believed before: an answer of the store in whose head a blank beside the name hid the era, or with a coding in HTTP/1.0. Cause: the same as in the responses of backend servers: the parser of net/http is lenient, and the store is read through it. Change: httphead.Conn checks the head of each response on a connection of net/http, and fails before its end can be read. Why it works: the bytes of a malformed head never reach the parser complete.

--- a/internal/httphead/conn.go
+++ b/internal/httphead/conn.go
@@ -1,6 +1,11 @@
 package httphead
 
-import "net"
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"sync"
+)
 
 // maxHeadBytes limits the heads that a Conn checks: interim ones and the final one together.
 const maxHeadBytes = 64 << 10
@@ -9,6 +14,8 @@
 // the end of that head can be read. It serves users that read through net/http.
 type Conn struct {
 	net.Conn
+	// mu guards the fields below.
+	mu sync.Mutex
 	// head holds the bytes of the present head that have arrived.
 	head []byte
 	// checking is true while a head is read, total counts the bytes of the heads of the present
@@ -22,17 +29,23 @@
 // NewConn returns a connection that checks the first response.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, checking: true} }
 
-// ExpectHead makes the connection check the head of the next response. It must not be called
-// while a response is read, nor concurrently with Read after the request was sent.
-func (c *Conn) ExpectHead() { c.checking, c.total, c.head = true, 0, c.head[:0] }
+// ExpectHead makes the connection check the head of the next response. Call it before the
+// request of that response is sent and after the previous response was read.
+func (c *Conn) ExpectHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.checking, c.total, c.head = true, 0, c.head[:0]
+}
 
 // Read implements net.Conn. It returns an error that wraps ErrMalformed if the bytes complete a
 // head that CheckResponse refuses, or if heads are longer than 64 KB.
 func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.err != nil {
 		return 0, c.err
 	}
-	n, err := c.Conn.Read(p)
 	if c.checking && n > 0 {
 		if c.err = c.check(p[:n]); c.err != nil {
 			return 0, c.err
@@ -69,3 +82,28 @@
 
 // firstFinalStatus is the lowest status of a response that is not an interim one.
 const firstFinalStatus = 200
+
+// DialFunc opens connections, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns a function that opens connections with dial and checks the heads of responses on
+// them. Requests that reuse a connection need Trace.
+func Dial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+}
+
+// Trace returns a context with which net/http lets the connection of a request check the head of
+// its response.
+func Trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(interface{ ExpectHead() }); ok {
+			conn.ExpectHead()
+		}
+	}})
+}
