Agents and providers: check the heads of responses before they are parsed

Callers of entries would have seen: a response with status 000, with names that contain blanks, or with a body of another length. Cause: the same in provider/httpprovider, which agents use for backend servers and load reports, and entries and agents for the configuration and the VM list. Change: its connections check heads (httphead.Conn), and the trailer of a response in chunks is checked at its end.

--- a/provider/httpprovider/backend.go
+++ b/provider/httpprovider/backend.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sesameswitch/sesameswitch/internal/httphead"
 	"github.com/sesameswitch/sesameswitch/provider"
 )
 
@@ -75,7 +76,7 @@
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { conn.Store(info.Conn.(*writeErrorConn)) },
 	}
-	httpReq, err := b.newRequest(httptrace.WithClientTrace(ctx, trace), req)
+	httpReq, err := b.newRequest(httphead.Trace(httptrace.WithClientTrace(ctx, trace)), req)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
--- a/provider/httpprovider/read.go
+++ b/provider/httpprovider/read.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/sesameswitch/sesameswitch/internal/httphead"
 )
 
 // newReadClient returns a client for read-only requests, which it may retry. It
@@ -22,7 +24,7 @@
 
 // get sends a GET request. The caller must close the body of the response.
 func get(ctx context.Context, client *http.Client, url string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	req, err := http.NewRequestWithContext(httphead.Trace(ctx), http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/provider/httpprovider/unframed.go
+++ b/provider/httpprovider/unframed.go
@@ -12,11 +12,13 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/sesameswitch/sesameswitch/internal/connerror"
+	"github.com/sesameswitch/sesameswitch/internal/httphead"
 )
 
-// writeErrorConn is a connection that keeps the error of its first failed write.
+// writeErrorConn is a connection that checks the heads of responses and keeps the error of its
+// first failed write.
 type writeErrorConn struct {
-	net.Conn
+	*httphead.Conn
 	// mu is held during each write.
 	mu  sync.Mutex
 	err error
@@ -29,7 +31,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &writeErrorConn{Conn: conn}, nil
+		return &writeErrorConn{Conn: httphead.NewConn(conn)}, nil
 	}
 }
 
@@ -70,9 +72,29 @@
 	return n, err
 }
 
+// chunkedBody is a body in chunks, which a trailer may follow.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader. A malformed trailer gives an error in place of io.EOF.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if trailerErr := httphead.CheckTrailer(b.resp.Trailer); trailerErr != nil {
+			return n, trailerErr
+		}
+	}
+	return n, err
+}
+
 // responseBody returns the body of a response that was received on the connection.
 func responseBody(resp *http.Response, conn *writeErrorConn) io.ReadCloser {
-	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody || conn == nil {
+	if len(resp.TransferEncoding) > 0 {
+		return &chunkedBody{resp.Body, resp}
+	}
+	if resp.ContentLength >= 0 || resp.Body == http.NoBody || conn == nil {
 		return resp.Body
 	}
 	return &unframedBody{resp.Body, conn}
