Limit the memory that requests hold in a gateway

Callers saw: the gateway was gone, out of memory, with all requests that it served. Cause: bodies were read to the end whatever others held, in buffers that io.ReadAll grows; complete bodies were copied for each attempt, responses for each write; heads with many fields take many times their length when parsed. Nothing added up what all connections hold. Change: package membudget. Ingress claims what it holds before it allocates: grown heads, parsed heads, bodies as they arrive, not as announced; the gateway claims the buffers of responses. Only small requests may use the last quarter, and a single large one always finds room. Bodies above 16 KB are no longer copied. Refusals of ingress name their request. Why it works: the limit counts what is held, by all connections together.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -154,17 +154,30 @@
 	return int64(len(body))
 }
 
-// readBuffered reads up to maxBufferedBytes of a response. complete is true only
-// if the response is shorter.
+// readBuffered reads up to maxBufferedBytes of a response, and less while memory is short. complete
+// is true only if the response is shorter.
 func (f *responseForwarder) readBuffered(ex io.Reader) (body []byte, complete bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(ex, maxBufferedBytes))
-	if err != nil {
-		return nil, false, err
-	}
-	if len(body) < maxBufferedBytes {
-		return body, true, nil
+	body = make([]byte, 0, readBufferBytes)
+	for {
+		n, err := ex.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		}
+		if len(body) < cap(body) {
+			continue
+		}
+		size := 2 * cap(body)
+		if size > maxBufferedBytes || !f.req.in.Memory.Grow(int64(size)) {
+			return body, false, nil
+		}
+		grown := make([]byte, len(body), size)
+		copy(grown, body)
+		body = grown
 	}
-	return body, false, nil
 }
 
 // forwardRest forwards the bytes that were read first, then the rest of the
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/sesameswitch/sesameswitch/membudget"
 )
 
 const (
@@ -45,6 +47,9 @@
 	Close bool
 	// Received is the time at which the last byte was read.
 	Received time.Time
+	// Memory is what the request holds of Config.Memory, until the handler returns. The handler
+	// may claim more.
+	Memory *membudget.Claim
 	// RemoteAddress is the network address of the caller.
 	RemoteAddress string
 }
@@ -67,21 +72,49 @@
 	headRequest bool
 	// used is true when the first request is complete.
 	used atomic.Bool
+	// memory is what the present request holds; nil without a limit.
+	memory *membudget.Claim
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	return &conn{server: s, nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}
+	c := &conn{server: s, nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}
+	if s.cfg.Memory != nil {
+		c.memory = s.cfg.Memory.NewClaim(func() { _ = nc.SetReadDeadline(time.Unix(1, 0)) }) // ends a read; fails only on a closed connection
+	}
+	return c
+}
+
+// releaseMemory gives back what the last request held. A buffer that its head has grown is kept,
+// and counted, if it holds bytes of the next request. releaseMemory returns false if there is no
+// room for it.
+func (c *conn) releaseMemory() bool {
+	c.memory.Release()
+	if c.br.Size() == readBufferBytes {
+		return true
+	}
+	if c.br.Buffered() > 0 {
+		return c.memory.Grow(int64(c.br.Size()))
+	}
+	c.br = bufio.NewReaderSize(c.nc, readBufferBytes)
+	return true
 }
 
 // headMethod begins a HEAD request.
 const headMethod = http.MethodHead + " "
 
-// errHeadTooLarge is returned for a request head above the size limit.
-var errHeadTooLarge = errors.New("ingress: request head too large")
+var (
+	// errHeadTooLarge is returned for a request head above the size limit.
+	errHeadTooLarge = errors.New("ingress: request head too large")
+	// errBodyTooLarge is returned for a request body above the size limit.
+	errBodyTooLarge = errors.New("ingress: request body too large")
+	// errNoMemory is returned if Config.Memory has no room.
+	errNoMemory = errors.New("ingress: memory is short")
+)
 
 // serve reads and handles requests until the connection is closed.
 func (c *conn) serve() {
 	defer c.server.remove(c)
+	defer c.memory.Release()
 	defer c.nc.Close()
 	for first := true; ; first = false {
 		limits := c.server.cfg.Limits()
@@ -96,6 +129,10 @@
 		if req == nil || !c.handle(req) {
 			return
 		}
+		req.Body = nil // else kept while the connection is idle
+		if !c.releaseMemory() {
+			return
+		}
 	}
 }
 
@@ -118,25 +155,54 @@
 // readRequest reads one request. Both results are nil if the caller disconnected.
 func (c *conn) readRequest(limits Limits) (*Request, *Refusal) {
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.memory.Begin()
 	head, err := c.head(limits.HeaderBytes)
 	method, _ := c.br.Peek(min(len(headMethod), c.br.Buffered()))
 	c.headRequest = string(method) == headMethod
 	switch {
 	case errors.Is(err, errHeadTooLarge):
-		return nil, &Refusal{http.StatusRequestHeaderFieldsTooLarge, "the head is too large"}
+		return nil, &Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "the head is too large"}
+	case errors.Is(err, errNoMemory):
+		return nil, memoryRefusal()
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &Refusal{http.StatusRequestTimeout, "the head came too slowly"}
+		return nil, &Refusal{Status: http.StatusRequestTimeout, Reason: "the head came too slowly"}
 	case err != nil:
 		return nil, nil //nolint:nilerr // the caller disconnected, so no response can be sent
 	}
 	if reason := checkHead(head); reason != "" {
-		return nil, &Refusal{http.StatusBadRequest, reason}
+		return nil, &Refusal{Status: http.StatusBadRequest, Reason: reason}
+	}
+	if !c.memory.Grow(parsedHeadBytes(head)) {
+		return nil, memoryRefusal()
 	}
 	parsed, err := http.ReadRequest(c.br)
 	if err != nil {
-		return nil, &Refusal{http.StatusBadRequest, "the head cannot be read"}
+		return nil, &Refusal{Status: http.StatusBadRequest, Reason: "the head cannot be read"}
+	}
+	req, refusal := c.body(parsed, limits)
+	if refusal != nil {
+		refusal.Header = parsed.Header
 	}
-	return c.body(parsed, limits)
+	return req, refusal
+}
+
+const (
+	// freeHeadBytes is the part of a parsed head that is not counted: the limit of connections
+	// allows for it.
+	freeHeadBytes = 8 << 10
+	// headerFieldBytes is what a parsed header field takes in addition to its text.
+	headerFieldBytes = 128
+)
+
+// parsedHeadBytes returns how much memory a parsed head takes, beyond freeHeadBytes.
+func parsedHeadBytes(head []byte) int64 {
+	return int64(max(0, 2*len(head)+headerFieldBytes*bytes.Count(head, []byte("\n"))-freeHeadBytes))
+}
+
+// memoryRefusal is the refusal of a request for which there is no memory. Requests whose input
+// has stopped give way after membudget.StallTime.
+func memoryRefusal() *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "memory is short", RetryAfter: membudget.StallTime}
 }
 
 // head returns the bytes of the request head without consuming them.
@@ -153,9 +219,15 @@
 			return nil, errHeadTooLarge
 		}
 		if len(buffered) == c.br.Size() {
-			c.growBuffer(buffered, min(2*c.br.Size(), limit+4))
+			size := max(min(2*c.br.Size(), limit+4), c.br.Size()+1)
+			if !c.memory.Grow(int64(size)) {
+				return nil, errNoMemory
+			}
+			c.growBuffer(buffered, size)
 		}
-		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil {
+		_, err := c.br.Peek(len(buffered) + 1)
+		c.memory.Received(c.br.Buffered() - len(buffered))
+		if err != nil {
 			return nil, err
 		}
 	}
@@ -165,7 +237,7 @@
 // the buffered bytes.
 func (c *conn) growBuffer(buffered []byte, size int) {
 	data := bytes.Clone(buffered)
-	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(data), c.nc), max(size, 2*len(data)))
+	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(data), c.nc), size)
 	_, _ = c.br.Peek(len(data)) // cannot fail: the bytes are in memory
 }
 
@@ -173,7 +245,7 @@
 // caller disconnected.
 func (c *conn) body(parsed *http.Request, limits Limits) (*Request, *Refusal) {
 	if parsed.ContentLength > int64(limits.BodyBytes) {
-		return nil, &Refusal{http.StatusRequestEntityTooLarge, "the body is too large"}
+		return nil, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "the body is too large"}
 	}
 	if strings.EqualFold(parsed.Header.Get("Expect"), "100-continue") {
 		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
@@ -181,24 +253,72 @@
 		}
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(parsed.Body, int64(limits.BodyBytes)+1))
+	body, err := c.readBody(parsed, limits.BodyBytes)
 	switch {
-	case len(body) > limits.BodyBytes:
-		return nil, &Refusal{http.StatusRequestEntityTooLarge, "the body is too large"}
+	case errors.Is(err, errBodyTooLarge):
+		return nil, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "the body is too large"}
+	case c.memory.Evicted():
+		return nil, &Refusal{Status: http.StatusRequestTimeout, Reason: "the body stopped while memory was short"}
+	case errors.Is(err, errNoMemory):
+		return nil, memoryRefusal()
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &Refusal{http.StatusRequestTimeout, "the body came too slowly"}
+		return nil, &Refusal{Status: http.StatusRequestTimeout, Reason: "the body came too slowly"}
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, nil
 	case err != nil:
-		return nil, &Refusal{http.StatusBadRequest, "the body cannot be read"}
+		return nil, &Refusal{Status: http.StatusBadRequest, Reason: "the body cannot be read"}
+	case !c.memory.Complete():
+		return nil, &Refusal{Status: http.StatusRequestTimeout, Reason: "the body stopped while memory was short"}
 	}
 	return &Request{
 		Method: parsed.Method, Target: parsed.RequestURI, Host: parsed.Host, Header: parsed.Header, Body: body,
 		HasBody: parsed.ContentLength != 0, Close: parsed.Close,
-		Received: time.Now(), RemoteAddress: c.nc.RemoteAddr().String(),
+		Received: time.Now(), Memory: c.memory, RemoteAddress: c.nc.RemoteAddr().String(),
 	}, nil
 }
 
+// firstBodyBytes is the size of the first buffer for a body whose length is not known, or larger.
+const firstBodyBytes = 16 << 10
+
+// readBody reads the body of a request. The buffer grows with what has arrived, whatever length
+// the head states.
+func (c *conn) readBody(parsed *http.Request, limit int) ([]byte, error) {
+	if parsed.ContentLength == 0 {
+		return nil, nil
+	}
+	largest := limit + 1 // shows that the body is too large
+	if parsed.ContentLength >= 0 {
+		largest = int(parsed.ContentLength)
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := min(max(firstBodyBytes, 2*cap(body)), largest)
+			if size == len(body) {
+				size++ // the next read finds the end
+			}
+			if !c.memory.Grow(int64(size)) {
+				return nil, errNoMemory
+			}
+			grown := make([]byte, len(body), size)
+			copy(grown, body)
+			c.memory.Shrink(int64(cap(body)))
+			body = grown
+		}
+		n, err := parsed.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		c.memory.Received(n)
+		switch {
+		case len(body) > limit:
+			return nil, errBodyTooLarge
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // handle calls the handler for one request. It reports whether the connection can
 // carry another request.
 func (c *conn) handle(req *Request) bool {
@@ -252,8 +372,13 @@
 	if c.server.cfg.OnRefusal != nil {
 		c.server.cfg.OnRefusal(r)
 	}
+	c.memory.Release()
+	header := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
+	if c.server.cfg.RefusalHeader != nil {
+		header = c.server.cfg.RefusalHeader(r)
+	}
 	w := &ResponseWriter{conn: c, ctx: context.Background(), toHead: c.headRequest}
-	w.WriteResponse(r.Status, http.Header{"Content-Type": {"text/plain; charset=utf-8"}}, []byte(r.Reason+"\n"))
+	w.WriteResponse(r.Status, header, []byte(r.Reason+"\n"))
 	if tcp, ok := c.nc.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite() // the caller may already have closed the connection
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -13,11 +13,14 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/sesameswitch/sesameswitch/membudget"
 )
 
 // Limits are the size and time limits on requests.
@@ -38,6 +41,10 @@
 type Refusal struct {
 	Status int
 	Reason string
+	// RetryAfter is when the caller may return; zero if that is not known.
+	RetryAfter time.Duration
+	// Header is the header of the request; nil if it was not read.
+	Header http.Header
 }
 
 // Config configures a Server.
@@ -53,6 +60,10 @@
 	// OnRefusal, if set, is called for each request that is refused before
 	// Handle is called.
 	OnRefusal func(Refusal)
+	// Memory limits what requests hold; nil means no limit.
+	Memory *membudget.Budget
+	// RefusalHeader, if set, returns the header fields of a refusal.
+	RefusalHeader func(Refusal) http.Header
 }
 
 // Server serves the connections of callers. It is safe for concurrent use.
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -99,7 +99,11 @@
 	return w.flush()
 }
 
-// bufferBody appends part of the body to the buffer.
+// maxCopiedBytes is the largest part of a body that is copied to the buffer, to be sent together
+// with what is there. Larger parts are sent from where they are.
+const maxCopiedBytes = 16 << 10
+
+// bufferBody appends part of the body to the buffer, or sends the buffer and then the part.
 func (w *ResponseWriter) bufferBody(p []byte) {
 	if len(p) == 0 || w.bodiless {
 		return
@@ -109,15 +113,25 @@
 			panic("ingress: response body longer than its Content-Length")
 		}
 		w.remaining -= int64(len(p))
-		w.buf.Write(p)
+		w.bufferOrSend(p)
 		return
 	}
 	w.buf.WriteString(strconv.FormatInt(int64(len(p)), 16))
 	w.buf.WriteString("\r\n")
-	w.buf.Write(p)
+	w.bufferOrSend(p)
 	w.buf.WriteString("\r\n")
 }
 
+func (w *ResponseWriter) bufferOrSend(p []byte) {
+	if len(p) <= maxCopiedBytes {
+		w.buf.Write(p)
+		return
+	}
+	if w.flush() {
+		w.send(p)
+	}
+}
+
 // End sends the rest of the body and ends the response. If the body is shorter than
 // the announced length, the response stays truncated and the connection is closed.
 // End returns false if writing to the connection failed.
@@ -142,9 +156,15 @@
 	if w.failed || w.buf.Len() == 0 {
 		return !w.failed
 	}
-	_ = w.conn.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection
-	_, err := w.conn.nc.Write(w.buf.Bytes())
+	ok := w.send(w.buf.Bytes())
 	w.buf.Reset()
+	return ok
+}
+
+// send writes to the connection. It returns false if that failed.
+func (w *ResponseWriter) send(p []byte) bool {
+	_ = w.conn.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection
+	_, err := w.conn.nc.Write(p)
 	w.failed = err != nil
 	return !w.failed
 }
--- /dev/null
+++ b/membudget/membudget.go
@@ -0,0 +1,220 @@
+// Package membudget decides which requests may hold how much memory of a process, without I/O.
+//
+// It answers one load: many callers at once send large bodies or heads, whole or piece by piece,
+// and most of them stop just before the end and stay connected. What they hold together stays
+// below the limit of a Budget. Requests whose input has stopped give way first; the last part of
+// the limit is kept for small requests, so that ordinary callers are served beside such a crowd.
+//
+// Callers may assume that the sum of all claims exceeds the limit only by one claim that is the
+// only large one: a single request is served whatever its size.
+package membudget
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sesameswitch/sesameswitch/clock"
+)
+
+// Parameters of a Budget.
+const (
+	// StallTime is the time without progress after which an incomplete request gives way if
+	// another one needs its memory. A refused caller finds room after it.
+	StallTime = time.Second
+	// minProgressBytes is how much of its input an incomplete request must receive within
+	// StallTime.
+	minProgressBytes = 4 << 10
+	// A request of at most smallBytes may use all of the limit, one of at most mediumBytes
+	// mediumShare of it, and a larger one largeShare.
+	smallBytes  = 16 << 10
+	mediumBytes = 128 << 10
+	mediumShare = 7.0 / 8
+	largeShare  = 3.0 / 4
+)
+
+// Budget is the memory that requests may hold together. It is safe for concurrent use.
+type Budget struct {
+	limit int64
+	clock clock.Clock
+	mu    sync.Mutex
+	// used is the sum of all claims, large the sum of those above mediumBytes, in bytes.
+	used, large int64
+	peak        int64
+	// incomplete holds the claims of requests whose input is not complete.
+	incomplete map[*Claim]struct{}
+}
+
+// New returns a budget with a limit in bytes.
+func New(limit int64, c clock.Clock) *Budget {
+	return &Budget{limit: limit, clock: c, incomplete: make(map[*Claim]struct{})}
+}
+
+// Usage is the use of a budget in bytes.
+type Usage struct{ Used, Peak, Limit int64 }
+
+// Usage returns the present use, its peak, and the limit.
+func (b *Budget) Usage() Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Usage{Used: b.used, Peak: b.peak, Limit: b.limit}
+}
+
+// Claim is the memory that one request holds. Its methods are safe for concurrent use, and a nil
+// Claim allows everything.
+type Claim struct {
+	budget *Budget
+	evict  func()
+	held   int64
+	// unconfirmed is the input since progressAt that is too little to count as progress.
+	unconfirmed int64
+	progressAt  time.Time
+	evicted     bool
+}
+
+// NewClaim returns the claim of a connection, for one request after another. evict is called,
+// from another goroutine, when the present request must give way: its input has stopped while
+// another request needs memory. It must not call methods of the claim.
+func (b *Budget) NewClaim(evict func()) *Claim { return &Claim{budget: b, evict: evict} }
+
+// Begin begins a request. It may give way until Complete is called.
+func (c *Claim) Begin() {
+	if c == nil {
+		return
+	}
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.progressAt, c.unconfirmed, c.evicted = b.clock.Now(), 0, false
+	b.incomplete[c] = struct{}{}
+}
+
+// Received records that n bytes of the input have arrived.
+func (c *Claim) Received(n int) {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	if c.unconfirmed += int64(n); c.unconfirmed >= minProgressBytes {
+		c.unconfirmed, c.progressAt = 0, c.budget.clock.Now()
+	}
+}
+
+// Complete records that the input is complete. The request does not give way any more. Complete
+// returns false if it already had to.
+func (c *Claim) Complete() bool {
+	if c == nil {
+		return true
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	delete(c.budget.incomplete, c)
+	return !c.evicted
+}
+
+// Evicted reports whether the present request had to give way.
+func (c *Claim) Evicted() bool {
+	if c == nil {
+		return false
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	return c.evicted
+}
+
+// Grow claims n more bytes. If there is no room, incomplete requests without progress give way,
+// the one without progress for longest first. Grow returns false, and claims nothing, if there
+// is still no room or this request had to give way itself.
+func (c *Claim) Grow(n int64) bool {
+	if c == nil {
+		return true
+	}
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.evicted {
+		return false
+	}
+	share := b.shareOf(c.held + n)
+	for b.used+n > share && !b.onlyLarge(c, n) {
+		if !b.evictOne(c) {
+			return false
+		}
+	}
+	b.add(c, n)
+	return true
+}
+
+// Shrink gives back n bytes.
+func (c *Claim) Shrink(n int64) {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.budget.add(c, -min(n, c.held))
+}
+
+// Release gives everything back and ends the request.
+func (c *Claim) Release() {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	delete(c.budget.incomplete, c)
+	c.budget.add(c, -c.held)
+}
+
+// shareOf returns how much of the limit may be in use after a request holds the given bytes.
+func (b *Budget) shareOf(bytes int64) int64 {
+	switch {
+	case bytes <= smallBytes:
+		return b.limit
+	case bytes <= mediumBytes:
+		return int64(mediumShare * float64(b.limit))
+	default:
+		return int64(largeShare * float64(b.limit))
+	}
+}
+
+// onlyLarge reports whether the claim with n more bytes is a large one and no other is.
+func (b *Budget) onlyLarge(c *Claim, n int64) bool {
+	others := b.large
+	if c.held > mediumBytes {
+		others -= c.held
+	}
+	return c.held+n > mediumBytes && others == 0
+}
+
+// add changes what a claim holds.
+func (b *Budget) add(c *Claim, n int64) {
+	if c.held > mediumBytes {
+		b.large -= c.held
+	}
+	c.held += n
+	b.used += n
+	if c.held > mediumBytes {
+		b.large += c.held
+	}
+	b.peak = max(b.peak, b.used)
+}
+
+// evictOne makes the incomplete request that has made no progress for longest give way. It
+// returns false if none has made no progress for StallTime.
+func (b *Budget) evictOne(except *Claim) bool {
+	var victim *Claim
+	for c := range b.incomplete {
+		if c != except && c.held > 0 && (victim == nil || c.progressAt.Before(victim.progressAt)) {
+			victim = c
+		}
+	}
+	if victim == nil || b.clock.Now().Sub(victim.progressAt) < StallTime {
+		return false
+	}
+	victim.evicted = true
+	delete(b.incomplete, victim)
+	b.add(victim, -victim.held)
+	go victim.evict()
+	return true
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -60,6 +60,8 @@
 	// with the head. Socket buffers hold at least this much, so the write does
 	// not block.
 	maxInlineBodyBytes = 2 << 10
+	// maxCopiedBodyBytes is the largest body that is copied to be sent together with the head.
+	maxCopiedBodyBytes = 16 << 10
 )
 
 // Errors of Pool.Do. After any other error the request may have run.
@@ -262,9 +264,17 @@
 // writeRequest sends the request. A large body is sent by a separate goroutine,
 // because a backend server may respond before it has read the body.
 func (e *Exchange) writeRequest(r *Request) {
-	message := append(append(make([]byte, 0, len(r.Head)+len(r.Body)), r.Head...), r.Body...)
+	parts := [][]byte{r.Head, r.Body}
+	if len(r.Body) <= maxCopiedBodyBytes {
+		parts = [][]byte{append(append(make([]byte, 0, len(r.Head)+len(r.Body)), r.Head...), r.Body...)}
+	}
 	send := func() {
-		_, err := e.conn.nc.Write(message)
+		var err error
+		for _, part := range parts {
+			if _, err = e.conn.nc.Write(part); err != nil {
+				break
+			}
+		}
 		e.writeDone <- err
 	}
 	if len(r.Body) <= maxInlineBodyBytes {
