Limit the connections of callers to a gateway

Callers saw: no connection at all. A crowd that connects and sends nothing uses up the descriptors of the process, and those for backend servers with them. Cause: nothing limits the connections that ingress accepts; accept only fails when all descriptors are in use. Beyond that, a new connection takes the place of one that has sent nothing, then of an idle one, then of one whose request has been incomplete for a second, the longest waiting first; never of one whose request is being handled. Why it works: the limit holds at accept, whatever the callers do.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -153,6 +153,7 @@
 	d.ingress = ingress.New(ingress.Config{
 		Handle: d.handle, Limits: d.limits, CloseAfterResponse: d.closeAfterResponse, OnRefusal: d.onIngressRefusal,
 		Memory: d.memory, RefusalHeader: d.ingressRefusalHeader,
+		MaxConnections: maxCallerConnections(settings.Limits), OnConnectionLimit: d.connectionLimitReporter(),
 	})
 	return d, nil
 }
@@ -246,61 +247,6 @@
 	return gapTargets
 }
 
-// onIngressRefusal records a request that ingress refused because its head or
-// body was malformed, too large or received too slowly.
-func (d *Daemon) onIngressRefusal(r ingress.Refusal) {
-	usage := d.memory.Usage()
-	d.log.WithFields(logrus.Fields{
-		"event": "request_refused", "request": d.requestInfoOf(r).ID, "status": r.Status, "reason": r.Reason, "no_answer": NoAnswerRefused,
-		"retry_after_ms": r.RetryAfter.Milliseconds(), "memory_used": usage.Used, "memory_limit": usage.Limit,
-	}).Info("request refused by ingress: its head or body could not be read")
-	d.server.metrics.refused("", "unreadable")
-	d.server.metrics.unanswered(NoAnswerRefused)
-}
-
-// requestInfoOf returns the metadata of a request that ingress refused; empty if they are not
-// known.
-func (d *Daemon) requestInfoOf(r ingress.Refusal) *RequestInfo {
-	if r.Header == nil {
-		return &RequestInfo{}
-	}
-	info, err := d.platform.Codec.DecodeRequest(&ingress.Request{Header: r.Header})
-	if err != nil {
-		return &RequestInfo{}
-	}
-	return info
-}
-
-// ingressRefusalHeader returns the header of the response to a request that ingress refused. The
-// delays are spread from minMemoryDelayShare of the stated one on: callers that were refused
-// together find room one after another, as the requests of others end.
-func (d *Daemon) ingressRefusalHeader(r ingress.Refusal) http.Header {
-	delay := time.Duration((minMemoryDelayShare + d.server.random()) * float64(r.RetryAfter))
-	return d.platform.Codec.RefusalHeader(d.requestInfoOf(r), delay)
-}
-
-// minMemoryDelayShare is the smallest delay of a caller that was refused for lack of memory, as a
-// share of the stated one.
-const minMemoryDelayShare = 0.25
-
-const (
-	// requestMemoryShare is the share of the memory of the process that requests may hold. The
-	// rest is for the state of the gateway, connections, and what the garbage collector has not
-	// freed yet.
-	requestMemoryShare = 0.25
-	// defaultMemoryBytes is the memory of the process if the settings state none.
-	defaultMemoryBytes = 256 << 20
-)
-
-// requestMemory returns how many bytes requests may hold in a process with the memory limit;
-// zero means that the settings state none.
-func requestMemory(limit int64) int64 {
-	if limit == 0 {
-		limit = defaultMemoryBytes
-	}
-	return int64(requestMemoryShare * float64(limit))
-}
-
 // limits returns the active limits for callers.
 func (d *Daemon) limits() ingress.Limits {
 	table := d.view.Table()
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -72,12 +72,15 @@
 	headRequest bool
 	// used is true when the first request is complete.
 	used atomic.Bool
+	// stateSince holds the ConnectionState and when the connection entered it.
+	stateSince atomic.Int64
 	// memory is what the present request holds; nil without a limit.
 	memory *membudget.Claim
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}
+	c.enter(ConnectionUnused)
 	if s.cfg.Memory != nil {
 		c.memory = s.cfg.Memory.NewClaim(func() { _ = nc.SetReadDeadline(time.Unix(1, 0)) }) // ends a read; fails only on a closed connection
 	}
@@ -147,8 +150,12 @@
 	_ = c.nc.SetReadDeadline(time.Now().Add(timeout)) // fails only on a closed connection
 	c.used.Store(!first)
 	c.idle.Store(!first && c.br.Buffered() == 0)
+	if !first {
+		c.enter(ConnectionIdle)
+	}
 	_, err := c.br.Peek(1)
 	c.idle.Store(false)
+	c.enter(ConnectionReading)
 	return err == nil
 }
 
@@ -322,6 +329,7 @@
 // handle calls the handler for one request. It reports whether the connection can
 // carry another request.
 func (c *conn) handle(req *Request) bool {
+	c.enter(ConnectionHandling)
 	c.server.inFlight.Add(1)
 	defer c.server.inFlight.Add(-1)
 	_ = c.nc.SetReadDeadline(time.Time{})
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -60,6 +60,12 @@
 	// OnRefusal, if set, is called for each request that is refused before
 	// Handle is called.
 	OnRefusal func(Refusal)
+	// MaxConnections limits the open connections; zero means no limit. Beyond it, each new
+	// connection takes the place of one that waits for its caller.
+	MaxConnections int
+	// OnConnectionLimit, if set, is called when a connection is closed because of
+	// MaxConnections. It must not block.
+	OnConnectionLimit func(closed ConnectionState)
 	// Memory limits what requests hold; nil means no limit.
 	Memory *membudget.Budget
 	// RefusalHeader, if set, returns the header fields of a refusal.
@@ -73,11 +79,13 @@
 	conns    map[*conn]struct{}
 	closed   bool
 	inFlight atomic.Int64
+	// startedAt is when the server was created.
+	startedAt time.Time
 }
 
 // New returns a server.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, conns: make(map[*conn]struct{})}
+	return &Server{cfg: cfg, conns: make(map[*conn]struct{}), startedAt: time.Now()}
 }
 
 // InFlight returns the number of requests that are being handled.
@@ -126,10 +134,40 @@
 	if s.closed {
 		return false
 	}
+	if s.cfg.MaxConnections > 0 && len(s.conns) >= s.cfg.MaxConnections && !s.makeRoom() {
+		c.nc.Close()
+		s.reportClosed(ConnectionNew)
+		return true // its goroutine ends at the first read
+	}
 	s.conns[c] = struct{}{}
 	return true
 }
 
+// makeRoom closes one connection that waits for its caller, if there is one. The caller holds mu.
+func (s *Server) makeRoom() bool {
+	var victim *conn
+	var best activity
+	now := time.Now()
+	for c := range s.conns {
+		if a := c.activity(now); a.state.evictable(a.since) && (victim == nil || a.before(best)) {
+			victim, best = c, a
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	victim.nc.Close()
+	delete(s.conns, victim)
+	s.reportClosed(best.state)
+	return true
+}
+
+func (s *Server) reportClosed(state ConnectionState) {
+	if s.cfg.OnConnectionLimit != nil {
+		s.cfg.OnConnectionLimit(state)
+	}
+}
+
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
