Limit the connections and heads at the listeners for readiness and metrics

Callers saw: the gateway was gone, or the load balancer could not reach it. Cause: the server of net/http reads heads of up to 1 MB, and any number of connections: strangers at the port for readiness checks take the memory and the descriptors of the whole process. Change: heads of at most 8 KB, and 32 connections at each of the two listeners; a further one takes the place of the one that was opened first (internal/netlimit), so that a check is answered beside a crowd.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/sesameswitch/sesameswitch/deployment"
 	"github.com/sesameswitch/sesameswitch/directory"
 	"github.com/sesameswitch/sesameswitch/ingress"
+	"github.com/sesameswitch/sesameswitch/internal/netlimit"
 	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/routes"
 	"github.com/sesameswitch/sesameswitch/routing"
@@ -309,8 +310,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	d.startBackgroundTasks(ctx, group)
 	group.Go(func() error { return d.ingress.Serve(d.callerListener) })
-	readyServer := &http.Server{Handler: http.HandlerFunc(d.readyz), ReadTimeout: httpTimeout, WriteTimeout: httpTimeout}
-	group.Go(func() error { return ignoreClosed(readyServer.Serve(d.readyListener)) })
+	readyServer := newInternalServer(http.HandlerFunc(d.readyz))
+	group.Go(func() error { return ignoreClosed(readyServer.Serve(limitInternal(d.readyListener))) })
 	group.Go(func() error { return d.serveMetrics(ctx) })
 	group.Go(func() error {
 		defer cancel()
@@ -368,10 +369,30 @@
 	if d.options.MetricsAddress == "" {
 		return nil
 	}
-	server := &http.Server{Addr: d.options.MetricsAddress, Handler: d.metrics.Handler(), ReadTimeout: httpTimeout, WriteTimeout: httpTimeout}
+	listener, err := net.Listen("tcp", d.options.MetricsAddress)
+	if err != nil {
+		return eris.Wrap(err, "gateway: cannot listen for requests for metrics")
+	}
+	server := newInternalServer(d.metrics.Handler())
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	return ignoreClosed(server.ListenAndServe())
+	return ignoreClosed(server.Serve(limitInternal(listener)))
+}
+
+// Limits of the listeners for readiness checks and for metrics.
+const (
+	maxInternalConnections = 32
+	maxInternalHeaderBytes = 8 << 10
+)
+
+// newInternalServer returns the server of a listener that is not for callers.
+func newInternalServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
+}
+
+// limitInternal limits the open connections of a listener that is not for callers.
+func limitInternal(l net.Listener) net.Listener {
+	return netlimit.NewListener(l, netlimit.Config{Max: maxInternalConnections})
 }
 
 // sweepPool periodically closes connections that have been idle for too long.
