Limit the connections and heads at the admin listeners of entries and agents

Callers saw: the entry or agent was gone. Cause: as at the listeners of a gateway: heads of up to 1 MB, any number of connections, and no limit on idle ones. Change: heads of at most 8 KB, 128 connections of which the first one gives way to a new one, idle ones for a minute.

--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/configsync"
+	"github.com/sesameswitch/sesameswitch/internal/netlimit"
 	"github.com/sesameswitch/sesameswitch/membership"
 	"github.com/sesameswitch/sesameswitch/peer"
 	"github.com/sesameswitch/sesameswitch/processstatus"
@@ -146,9 +147,20 @@
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "node: admin listener")
 	}
-	return &http.Server{Handler: n.admin, ReadHeaderTimeout: 5 * time.Second}, listener, nil
+	server := &http.Server{
+		Handler: n.admin, ReadHeaderTimeout: adminReadTimeout, IdleTimeout: adminIdleTimeout, MaxHeaderBytes: maxAdminHeaderBytes,
+	}
+	return server, netlimit.NewListener(listener, netlimit.Config{Max: maxAdminConnections}), nil
 }
 
+// Limits of the admin listener. A follower of the time line keeps its connection.
+const (
+	adminReadTimeout    = 5 * time.Second
+	adminIdleTimeout    = time.Minute
+	maxAdminHeaderBytes = 8 << 10
+	maxAdminConnections = 128
+)
+
 // ReadinessHandler returns a handler that responds with status 200 while ready
 // and with 503 otherwise.
 func ReadinessHandler(ready func() bool) http.HandlerFunc {
