Limit the memory and the connections of callers at an entry

Callers saw: the entry was gone, out of memory. Cause: as in a gateway: each body was read to its end whatever others held, and any number of connections with heads of up to 128 KB was accepted. Requests whose body has stopped give way with 408, others are refused with 503 and the new reason memory; a keyed request gets the outcome unknown as before. A fifth of the memory is for connections, of which one without a complete request gives way to a new one. Heads end at 32 KB instead of 128; the problem document for heads above 16 KB stays. The runtime's memory limit is 0.6 of the memory.

--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -59,7 +59,7 @@
 		Role: provider.RoleEntry, Incarnation: string(agent.NewIncarnation(now)), Address: peers.Addr().String(),
 	}, log)
 	e := entry.New(entry.Config{
-		VM: n.Self, Policy: policy(f.Policy), SubsetSize: f.SubsetSize, Seed: uint64(now.UnixNano()),
+		VM: n.Self, Policy: policy(f.Policy), SubsetSize: f.SubsetSize, Seed: uint64(now.UnixNano()), MemoryBytes: f.MemoryBytes(),
 	}, entry.Dependencies{
 		Peers: n.Peers, Configuration: n.Configuration, Confirm: n.ConfirmConfiguration, ObserveVersion: n.ObserveVersion,
 		Members: n.Members, Clock: n.Clock, Metrics: n.Metrics, Timeline: n.Timeline, Log: log,
--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"os"
 	"sync/atomic"
+	"time"
 
+	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/outcome"
 )
 
@@ -39,27 +41,66 @@
 	requestPending atomic.Bool
 	// handlerRunning is true while the handler of a request runs.
 	handlerRunning atomic.Bool
+	// occupied is true while the handler of a complete request runs, hijacked once a stream has
+	// taken the connection from the HTTP server.
+	occupied, hijacked atomic.Bool
+}
+
+// callerConnOf returns the connection of a caller that the HTTP server uses; nil if it is not one
+// of a callerListener.
+func callerConnOf(c net.Conn) *callerConn {
+	if limited, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = limited.NetConn()
+	}
+	caller, _ := c.(*callerConn)
+	return caller
+}
+
+// occupied reports whether the connection has a complete request, so that it is not closed in
+// favour of another caller.
+func occupied(c net.Conn) bool {
+	caller := callerConnOf(c)
+	return caller != nil && (caller.occupied.Load() || caller.hijacked.Load())
 }
 
 type connKey struct{}
 
 // connContext stores the connection in the context of its requests.
 func connContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+	return context.WithValue(ctx, connKey{}, callerConnOf(c))
 }
 
 // markHandlerRunning records that a handler runs on the request's connection,
 // until the returned function is called.
 func markHandlerRunning(r *http.Request) (done func()) {
-	c, ok := r.Context().Value(connKey{}).(*callerConn)
-	if !ok {
+	c := requestConn(r)
+	if c == nil {
 		return func() {}
 	}
 	c.handlerRunning.Store(true)
 	return func() {
 		c.requestPending.Store(false)
 		c.handlerRunning.Store(false)
+		c.occupied.Store(false)
+	}
+}
+
+// requestConn returns the connection of a request; nil if it is not known.
+func requestConn(r *http.Request) *callerConn {
+	c, _ := r.Context().Value(connKey{}).(*callerConn)
+	return c
+}
+
+// newClaim returns the claim of a request on the memory of the entry. If the request has to give
+// way, reading its body fails.
+func (e *Entry) newClaim(r *http.Request) *membudget.Claim {
+	conn := requestConn(r)
+	if e.memory == nil || conn == nil {
+		return nil
 	}
+	claim := e.memory.NewClaim(func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }) // fails only on a closed connection
+	claim.Begin()
+	return claim
 }
 
 // Read reads from the connection. It writes a problem document to the caller when
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sesameswitch/sesameswitch/internal/netlimit"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/processstatus"
 )
@@ -23,7 +24,7 @@
 	// exceeds it gets a problem document. Beyond maxServerHeaderBytes, the HTTP
 	// server stops reading the request, and no handler runs.
 	maxRequestHeaderBytes = 16 << 10
-	maxServerHeaderBytes  = 128 << 10
+	maxServerHeaderBytes  = 32 << 10
 	// lameDuckPeriod is how long a draining entry still accepts requests, so
 	// that the platform's load balancer can remove it first.
 	lameDuckPeriod = 3 * time.Second
@@ -50,6 +51,10 @@
 	}
 	onSlowHeaders := func() { e.metrics.countRefusal("", outcome.ReasonSlowRequest) }
 	d := &Daemon{entry: e, listener: callerListener{Listener: listener, onSlowHeaders: onSlowHeaders}, shutdownDone: make(chan struct{})}
+	if limit := e.cfg.maxConnections(); limit > 0 {
+		closed := e.deps.Metrics.Counter("sesame_entry_connections_closed_total")
+		d.listener = netlimit.NewListener(d.listener, netlimit.Config{Max: limit, Busy: occupied, OnClose: func() { closed.Inc(1) }})
+	}
 	d.server = &http.Server{
 		Handler:           d.wrapHandler(handler),
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/entry/disconnect.go
+++ b/entry/disconnect.go
@@ -55,7 +55,7 @@
 var errNoRawConn = errors.New("entry: connection has no file descriptor")
 
 func rawConn(conn net.Conn) (syscall.RawConn, error) {
-	if c, ok := conn.(*callerConn); ok {
+	if c := callerConnOf(conn); c != nil {
 		conn = c.Conn
 	}
 	inner, ok := conn.(syscall.Conn)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/sesameswitch/sesameswitch/limit"
 	"github.com/sesameswitch/sesameswitch/manifest"
 	"github.com/sesameswitch/sesameswitch/membership"
+	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/retry"
 	"github.com/sesameswitch/sesameswitch/routing"
@@ -97,6 +98,9 @@
 	SubsetSize int
 	// Seed initialises the random numbers of the router.
 	Seed uint64
+	// MemoryBytes is the memory of the process, from which the limits of what callers may hold
+	// are derived; zero means no limits.
+	MemoryBytes int64
 }
 
 // Dependencies are the components that an entry uses.
@@ -126,6 +130,8 @@
 	limiter     *accountLimiter
 	metrics     *entryMetrics
 	disconnects *disconnectMonitor
+	// memory is what requests may hold together; nil means no limit.
+	memory *membudget.Budget
 	// hijackedStreams counts the open streams on hijacked connections.
 	hijackedStreams atomic.Int64
 }
@@ -134,7 +140,7 @@
 func New(cfg Config, deps Dependencies) *Entry {
 	rng := rand.New(rand.NewPCG(cfg.Seed, 2))
 	router := routing.New(routing.Config{Policy: cfg.Policy, DataCentre: cfg.VM.DataCentre}, rng)
-	return &Entry{
+	e := &Entry{
 		cfg:         cfg,
 		deps:        deps,
 		agents:      newAgentTable(cfg, deps, router),
@@ -143,6 +149,24 @@
 		limiter:     newAccountLimiter(limit.New(limit.Config{})),
 		metrics:     newEntryMetrics(deps.Metrics),
 	}
+	if cfg.MemoryBytes > 0 {
+		e.memory = membudget.New(int64(requestMemoryShare*float64(cfg.MemoryBytes)), deps.Clock)
+	}
+	return e
+}
+
+const (
+	// requestMemoryShare is the share of the memory of the process that requests may hold.
+	requestMemoryShare = 0.25
+	// connectionMemoryShare is the share that connections of callers may use, connectionBytes
+	// what one of them takes: buffers, stack, bookkeeping.
+	connectionMemoryShare = 0.2
+	connectionBytes       = 24 << 10
+)
+
+// maxConnections returns how many connections of callers may be open; zero means no limit.
+func (c *Config) maxConnections() int {
+	return int(connectionMemoryShare * float64(c.MemoryBytes) / connectionBytes)
 }
 
 // Run runs the entry's background tasks until the context ends.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net/http"
 	"path"
 	"strings"
@@ -17,6 +16,7 @@
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/idempotency"
 	"github.com/sesameswitch/sesameswitch/manifest"
+	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/timeline"
 )
@@ -95,15 +95,28 @@
 	return caller{config: config, account: account}, nil
 }
 
-func readBody(ctx iris.Context, limit int64) ([]byte, *outcome.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, limit))
+// readBody reads the body of a request, within the memory that requests may hold together. The
+// connection of a refused request is closed.
+func readBody(ctx iris.Context, claim *membudget.Claim, limit int64) ([]byte, *outcome.Refusal) {
+	r := ctx.Request()
+	body, err := membudget.ReadBody(claim, http.MaxBytesReader(ctx.ResponseWriter(), r.Body, limit), r.ContentLength, int(limit))
+	complete := claim.Complete()
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge), errors.Is(err, membudget.ErrTooLarge):
 		return nil, outcome.Refuse(outcome.ReasonTooLarge, "the body is too large")
-	}
-	if err != nil {
+	case !complete:
+		ctx.Header("Connection", "close")
+		return nil, outcome.Refuse(outcome.ReasonSlowRequest, "the body stopped while memory was short")
+	case errors.Is(err, membudget.ErrNoRoom):
+		ctx.Header("Connection", "close")
+		return nil, outcome.Refuse(outcome.ReasonMemory, "other requests hold the memory").WithRetryAfter(membudget.StallTime)
+	case err != nil:
 		return nil, badRequest("the body could not be read")
 	}
+	if conn := requestConn(r); conn != nil {
+		conn.occupied.Store(true)
+	}
 	return body, nil
 }
 
@@ -131,7 +144,7 @@
 
 func (e *Entry) readChat(ctx iris.Context, c caller, req *request) *outcome.Refusal {
 	limits := c.config.Manifest.Limits
-	body, refusal := readBody(ctx, limits.MaxBodyBytes)
+	body, refusal := readBody(ctx, req.memory, limits.MaxBodyBytes)
 	if refusal != nil {
 		return refusal
 	}
@@ -173,7 +186,7 @@
 	if !ok {
 		return outcome.Refuse(outcome.ReasonNotFound, "no route for "+method+" "+subpath)
 	}
-	body, refusal := readBody(ctx, c.config.Manifest.Limits.MaxBodyBytes)
+	body, refusal := readBody(ctx, req.memory, c.config.Manifest.Limits.MaxBodyBytes)
 	if refusal != nil {
 		return refusal
 	}
@@ -205,7 +218,7 @@
 
 // handle processes one request from its receipt to its final response.
 func (e *Entry) handle(ctx iris.Context, read func(iris.Context, caller, *request) *outcome.Refusal) {
-	req := &request{id: newID(), receivedAt: e.deps.Clock.Now()}
+	req := &request{id: newID(), receivedAt: e.deps.Clock.Now(), memory: e.newClaim(ctx.Request())}
 	c, refusal := e.authenticate(ctx)
 	if refusal == nil {
 		req.account = c.account
@@ -216,6 +229,7 @@
 		refusal = e.prepare(ctx, c, req)
 	}
 	if refusal != nil {
+		req.memory.Release()
 		e.refuse(ctx, req.id, refusal)
 		return
 	}
@@ -314,6 +328,7 @@
 
 // serveToEnd serves a request, completes the response and records the outcome.
 func (e *Entry) serveToEnd(ctx context.Context, req *request, out responseSink) {
+	defer req.memory.Release()
 	refusal := e.serve(ctx, req, out)
 	out.end(refusal)
 	e.metrics.countResponse(req, refusal, e.since(req.receivedAt))
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -42,7 +42,9 @@
 // mint chooses an agent, as for a request, and responds with a key that names
 // its current incarnation.
 func (e *Entry) mint(ctx iris.Context, c caller) *outcome.Refusal {
-	body, refusal := readBody(ctx, c.config.Manifest.Limits.MaxBodyBytes)
+	claim := e.newClaim(ctx.Request())
+	defer claim.Release()
+	body, refusal := readBody(ctx, claim, c.config.Manifest.Limits.MaxBodyBytes)
 	if refusal != nil {
 		return refusal
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -6,6 +6,7 @@
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/idempotency"
 	"github.com/sesameswitch/sesameswitch/manifest"
+	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/routing"
 )
@@ -21,6 +22,8 @@
 	keyText string
 	args    agentapi.SubmitArgs
 	routing routing.Request
+	// memory is what the request holds of the entry's memory; nil without a limit.
+	memory *membudget.Claim
 	// resuming is true once the caller has received a part of a broken stream.
 	resuming bool
 	// retryRatio is the maximum ratio of retries to requests.
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -34,6 +34,9 @@
 		return nil, false
 	}
 	_ = conn.SetDeadline(time.Time{}) // a connection that fails here also fails at the first write
+	if c := callerConnOf(conn); c != nil {
+		c.hijacked.Store(true)
+	}
 	return conn, true
 }
 
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -105,14 +105,8 @@
 // headMethod begins a HEAD request.
 const headMethod = http.MethodHead + " "
 
-var (
-	// errHeadTooLarge is returned for a request head above the size limit.
-	errHeadTooLarge = errors.New("ingress: request head too large")
-	// errBodyTooLarge is returned for a request body above the size limit.
-	errBodyTooLarge = errors.New("ingress: request body too large")
-	// errNoMemory is returned if Config.Memory has no room.
-	errNoMemory = errors.New("ingress: memory is short")
-)
+// errHeadTooLarge is returned for a request head above the size limit.
+var errHeadTooLarge = errors.New("ingress: request head too large")
 
 // serve reads and handles requests until the connection is closed.
 func (c *conn) serve() {
@@ -169,7 +163,7 @@
 	switch {
 	case errors.Is(err, errHeadTooLarge):
 		return nil, &Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "the head is too large"}
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, membudget.ErrNoRoom):
 		return nil, memoryRefusal()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &Refusal{Status: http.StatusRequestTimeout, Reason: "the head came too slowly"}
@@ -228,7 +222,7 @@
 		if len(buffered) == c.br.Size() {
 			size := max(min(2*c.br.Size(), limit+4), c.br.Size()+1)
 			if !c.memory.Grow(int64(size)) {
-				return nil, errNoMemory
+				return nil, membudget.ErrNoRoom
 			}
 			c.growBuffer(buffered, size)
 		}
@@ -260,13 +254,13 @@
 		}
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := c.readBody(parsed, limits.BodyBytes)
+	body, err := membudget.ReadBody(c.memory, parsed.Body, parsed.ContentLength, limits.BodyBytes)
 	switch {
-	case errors.Is(err, errBodyTooLarge):
+	case errors.Is(err, membudget.ErrTooLarge):
 		return nil, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "the body is too large"}
 	case c.memory.Evicted():
 		return nil, &Refusal{Status: http.StatusRequestTimeout, Reason: "the body stopped while memory was short"}
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, membudget.ErrNoRoom):
 		return nil, memoryRefusal()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &Refusal{Status: http.StatusRequestTimeout, Reason: "the body came too slowly"}
@@ -284,48 +278,6 @@
 	}, nil
 }
 
-// firstBodyBytes is the size of the first buffer for a body whose length is not known, or larger.
-const firstBodyBytes = 16 << 10
-
-// readBody reads the body of a request. The buffer grows with what has arrived, whatever length
-// the head states.
-func (c *conn) readBody(parsed *http.Request, limit int) ([]byte, error) {
-	if parsed.ContentLength == 0 {
-		return nil, nil
-	}
-	largest := limit + 1 // shows that the body is too large
-	if parsed.ContentLength >= 0 {
-		largest = int(parsed.ContentLength)
-	}
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			size := min(max(firstBodyBytes, 2*cap(body)), largest)
-			if size == len(body) {
-				size++ // the next read finds the end
-			}
-			if !c.memory.Grow(int64(size)) {
-				return nil, errNoMemory
-			}
-			grown := make([]byte, len(body), size)
-			copy(grown, body)
-			c.memory.Shrink(int64(cap(body)))
-			body = grown
-		}
-		n, err := parsed.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		c.memory.Received(n)
-		switch {
-		case len(body) > limit:
-			return nil, errBodyTooLarge
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
-	}
-}
-
 // handle calls the handler for one request. It reports whether the connection can
 // carry another request.
 func (c *conn) handle(req *Request) bool {
--- a/internal/netlimit/netlimit.go
+++ b/internal/netlimit/netlimit.go
@@ -94,6 +94,9 @@
 	element *list.Element
 }
 
+// NetConn returns the connection of the inner listener.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.mu.Lock()
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -1,4 +1,4 @@
-// Package membudget decides which requests may hold how much memory of a process, without I/O.
+// Package membudget decides which requests may hold how much memory of a process.
 //
 // It answers one load: many callers at once send large bodies or heads, whole or piece by piece,
 // and most of them stop just before the end and stay connected. What they hold together stays
--- a/node/run.go
+++ b/node/run.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -23,6 +24,10 @@
 // switch it off.
 const GuardDrain mutation.Guard = "node.drain"
 
+// runtimeMemoryShare is the memory limit of the Go runtime as a share of the memory of the
+// process. The runtime's limit is soft: the garbage collector runs more often to stay below it.
+const runtimeMemoryShare = 0.6
+
 // pollInterval is how often the process checks whether it is ready, whether its VM
 // is listed as leaving and, while draining, whether it is idle.
 const pollInterval = 50 * time.Millisecond
@@ -51,6 +56,9 @@
 // drain timeout has passed. A signal before the process is ready stops it at
 // once. Run writes the listening addresses to announce.
 func (n *Node) Run(daemon Daemon, peers net.Listener, announce io.Writer) error {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(n.Settings.MemoryBytes())))
+	}
 	if err := n.background.registerServices(n); err != nil {
 		return err
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -22,8 +22,12 @@
 	VMListURL   string `name:"vm-list-url" required:"" validate:"url" help:"Base URL of the list of VMs."`
 
 	DrainTimeout   time.Duration `default:"10m" validate:"min=0" help:"Maximum time to wait for requests in flight when the process is asked to stop."`
+	MemoryMB       int           `name:"memory-mb" default:"256" validate:"min=64,max=1048576" help:"Memory of this process, in megabytes: what requests, messages and connections may hold is a share of it."`
 	TimelineEvents int           `default:"16384" validate:"min=16,max=1000000" help:"Number of events that the time line keeps."`
 
 	settings.Logging
 	settings.Printing
 }
+
+// MemoryBytes returns the memory of the process in bytes.
+func (s *Settings) MemoryBytes() int64 { return int64(s.MemoryMB) << 20 }
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -75,6 +75,8 @@
 	// reachable, or that the agent's backend server does not serve the model or
 	// the service.
 	ReasonNoBackendServer Reason = "no_backend_server"
+	// ReasonMemory means that requests already hold the memory that the process has for them.
+	ReasonMemory Reason = "memory"
 	// ReasonRingFull means that the agent's command ring (a bounded queue) was full.
 	ReasonRingFull            Reason = "ring_full"
 	ReasonCancelled           Reason = "cancelled"
--- a/outcome/problem.go
+++ b/outcome/problem.go
@@ -54,6 +54,7 @@
 	ReasonStarting:            http.StatusServiceUnavailable,
 	ReasonStaleConfig:         http.StatusServiceUnavailable,
 	ReasonNoBackendServer:     http.StatusServiceUnavailable,
+	ReasonMemory:              http.StatusServiceUnavailable,
 	ReasonRingFull:            http.StatusServiceUnavailable,
 	ReasonCancelled:           499, // client closed request; not a registered status
 	ReasonBackendServerFailed: http.StatusBadGateway,
