Limit the messages and connections at the listeners for peers

Callers saw: the entry or agent was gone, out of memory. Cause: encoding/gob allocates a message by the length that it states, up to 10 MB before a byte of it has arrived, and up to 1 GB as it arrives; net/rpc has no limit of its own. The number of connections was not limited. A message without room waits up to 3 s; meanwhile messages that have received less than 4 KB for a second give way: their connection is closed, and peers open a new one. 4,096 connections, beyond which one on which no message has arrived gives way.

--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/sesameswitch/sesameswitch/configsync"
 	"github.com/sesameswitch/sesameswitch/internal/netlimit"
 	"github.com/sesameswitch/sesameswitch/membership"
+	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/peer"
 	"github.com/sesameswitch/sesameswitch/processstatus"
 	"github.com/sesameswitch/sesameswitch/provider"
@@ -35,6 +36,8 @@
 	Members       *membership.Table
 	Peers         *peer.Pool
 	PeerServer    *peer.Server
+	// Memory is what the messages of peers, and requests that agents hold, may take together.
+	Memory *membudget.Budget
 
 	process    timeline.Process
 	state      atomic.Pointer[string]
@@ -58,6 +61,9 @@
 // New returns a node in the state starting. Nothing runs before Run is called.
 func New(s Settings, id Identity, log *logrus.Logger) *Node {
 	c := clock.New()
+	memory := membudget.New(int64(peerMemoryShare*float64(s.MemoryBytes())), c)
+	peerConfig := peer.DefaultConfig()
+	peerConfig.Memory = memory
 	process := timeline.Process{VM: s.VM, Role: string(id.Role), DataCentre: s.DataCentre, Incarnation: id.Incarnation}
 	n := &Node{
 		Settings: s,
@@ -70,7 +76,8 @@
 		Metrics:    telemetry.New(),
 		Timeline:   timeline.New(process, s.TimelineEvents, c),
 		Peers:      peer.NewPool(peer.DefaultConfig()),
-		PeerServer: peer.NewServer(peer.DefaultConfig()),
+		PeerServer: peer.NewServer(peerConfig),
+		Memory:     memory,
 		process:    process,
 		machine:    statechart.MustLoad("process").New(),
 		admin:      http.NewServeMux(),
@@ -83,6 +90,10 @@
 	return n
 }
 
+// peerMemoryShare is the share of the memory of the process that messages of peers, and the
+// requests that agents hold, may take.
+const peerMemoryShare = 0.25
+
 // hooks returns functions that record accepted and refused configuration
 // documents in metrics, time line and log.
 func (n *Node) hooks() configsync.Hooks {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -4,7 +4,8 @@
 // may assume that Call returns when its context ends, that a connection on
 // which nothing arrives is closed within Config.ReadTimeout and replaced by the
 // next call, and that a reply which arrives after Call has returned is
-// discarded. NotSent reports whether a failed call certainly did not reach the
+// discarded. What strangers send to a Server is bounded by Config.MaxMessageBytes, MaxConnections
+// and Memory. NotSent reports whether a failed call certainly did not reach the
 // peer.
 package peer
 
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/sesameswitch/sesameswitch/membudget"
 )
 
 // Config holds the timeouts of connections between peers.
@@ -37,6 +40,16 @@
 	// connections. It is checked about once per HeartbeatInterval; zero
 	// disables it.
 	IdleTimeout time.Duration
+	// MaxMessageBytes limits the messages that a Server receives; a connection with a larger one
+	// is closed. Zero means no limit.
+	MaxMessageBytes uint64
+	// MaxConnections limits the connections that a Server accepts; beyond it, one on which no
+	// message has arrived gives way. Zero means no limit.
+	MaxConnections int
+	// Memory limits what the messages that a Server receives hold together. A message waits for
+	// room up to ReadTimeout, and one that has stopped gives way: its connection is closed. nil
+	// means no limit.
+	Memory *membudget.Budget
 }
 
 // DefaultConfig returns the timeouts that the daemons use.
@@ -48,6 +61,8 @@
 		WriteTimeout:      2 * time.Second,
 		RedialDelay:       100 * time.Millisecond,
 		IdleTimeout:       20 * time.Second,
+		MaxMessageBytes:   65 << 20, // the largest body that a manifest allows, and the rest of a call
+		MaxConnections:    4096,
 	}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -15,14 +16,53 @@
 	traffic Traffic
 
 	mu     sync.Mutex
-	conns  map[net.Conn]struct{}
+	conns  map[*serverConn]struct{}
 	closed bool
 }
 
+// serverConn is an accepted connection.
+type serverConn struct {
+	*conn
+	// mu guards frames.
+	mu     sync.Mutex
+	frames frames
+	// acceptedAt is the time of acceptance.
+	acceptedAt time.Time
+}
+
+func newServerConn(c net.Conn, cfg Config, traffic *Traffic) *serverConn {
+	s := &serverConn{conn: newConn(c, cfg, traffic), frames: frames{maxBytes: cfg.MaxMessageBytes, patience: cfg.ReadTimeout}, acceptedAt: time.Now()}
+	if cfg.Memory != nil {
+		s.frames.memory = cfg.Memory.NewClaim(func() { c.Close() })
+	}
+	return s
+}
+
+// Read also fails when a message is too large or finds no memory.
+func (c *serverConn) Read(p []byte) (int, error) {
+	n, err := c.conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if frameErr := c.frames.arrived(p[:n]); frameErr != nil {
+		return 0, frameErr
+	}
+	return n, err
+}
+
+// proven reports whether a complete message has arrived. A connection whose message waits for
+// memory counts as proven.
+func (c *serverConn) proven() bool {
+	if !c.mu.TryLock() {
+		return true
+	}
+	defer c.mu.Unlock()
+	return c.frames.messages > 0
+}
+
 // NewServer returns a server without methods, except for the heartbeat; Register
 // adds methods.
 func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg, rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
+	s := &Server{cfg: cfg, rpc: rpc.NewServer(), conns: map[*serverConn]struct{}{}}
 	if err := s.rpc.RegisterName("Peer", pinger{}); err != nil {
 		panic(err) // pinger always has a suitable method
 	}
@@ -45,28 +85,48 @@
 		if err != nil {
 			return eris.Wrap(err, "peer: accept")
 		}
-		if !s.track(c) {
+		accepted := newServerConn(c, s.cfg, &s.traffic)
+		if !s.track(accepted) {
 			c.Close()
 			continue
 		}
-		go s.serveConn(c)
+		go s.serveConn(accepted)
 	}
 }
 
 // track records an accepted connection so that Close can close it. It returns
-// false when the server is closed.
-func (s *Server) track(c net.Conn) bool {
+// false when the server is closed, or has too many connections.
+func (s *Server) track(c *serverConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.closed || s.cfg.MaxConnections > 0 && len(s.conns) >= s.cfg.MaxConnections && !s.makeRoom() {
 		return false
 	}
 	s.conns[c] = struct{}{}
 	return true
 }
 
-func (s *Server) serveConn(c net.Conn) {
-	s.rpc.ServeConn(newConn(c, s.cfg, &s.traffic))
+// makeRoom closes the first of the connections on which no message has arrived, if there is one.
+// The caller holds mu.
+func (s *Server) makeRoom() bool {
+	var victim *serverConn
+	for c := range s.conns {
+		if !c.proven() && (victim == nil || c.acceptedAt.Before(victim.acceptedAt)) {
+			victim = c
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	victim.Close()
+	delete(s.conns, victim)
+	return true
+}
+
+func (s *Server) serveConn(c *serverConn) {
+	s.rpc.ServeConn(c)
+	c.Close() // a message may still wait for memory
+	c.frames.memory.Release()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
