Limit the bodies that an agent holds

Callers saw: the agent was gone when many entries sent requests with large bodies at once. Cause: the queue is limited by the number of requests, not by their size, and refused requests kept their body until they were forgotten. Change: queued and running requests hold their bodies within the memory of the node for messages of peers; without room a request is refused with the reason memory, with the outcome unknown if it has a key. Bodies are given back at the end of a run, before its response can be read, and when a run is refused.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -21,6 +21,7 @@
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/configsync"
+	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/ring"
 	"github.com/sesameswitch/sesameswitch/telemetry"
@@ -104,6 +105,8 @@
 	Clock          clock.Clock
 	Metrics        *telemetry.Metrics
 	Timeline       *timeline.Recorder
+	// Memory limits the bodies of requests that are queued or run; nil means no limit.
+	Memory *membudget.Budget
 }
 
 // Agent runs the requests of one backend server.
--- a/agent/command.go
+++ b/agent/command.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/outcome"
 )
 
@@ -14,12 +15,14 @@
 
 // submitCommand submits a request.
 type submitCommand struct {
-	args  *agentapi.SubmitArgs
-	reply chan<- agentapi.SubmitReply
+	args *agentapi.SubmitArgs
+	// memory is what the body takes; a new run holds it until it has ended.
+	memory *membudget.Claim
+	reply  chan<- agentapi.SubmitReply
 }
 
 func (c submitCommand) apply(s *scheduler, now time.Time) {
-	c.reply <- s.submit(now, c.args)
+	c.reply <- s.submit(now, c.args, c.memory)
 }
 
 // cancelCommand cancels a run. The reply reports whether the run exists.
--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/outcome"
 )
 
@@ -25,12 +26,21 @@
 func (s *RPCService) Submit(args agentapi.SubmitArgs, reply *agentapi.SubmitReply) error {
 	a := s.agent
 	a.observeEntry(args.Entry, args.ConfigVersion)
+	memory := a.newClaim()
+	if !memory.Grow(int64(len(args.Body))) {
+		*reply = a.refuseOverload(&args, outcome.ReasonMemory, "other requests hold the memory of the agent")
+		return nil
+	}
 	replies := make(chan agentapi.SubmitReply, 1)
-	if !a.commands.Push(submitCommand{args: &args, reply: replies}) {
-		*reply = a.refuseRingFull(&args)
+	if !a.commands.Push(submitCommand{args: &args, memory: memory, reply: replies}) {
+		memory.Release()
+		*reply = a.refuseOverload(&args, outcome.ReasonRingFull, "the agent is overrun")
 		return nil
 	}
 	*reply = <-replies
+	if !reply.Accepted || reply.Joined {
+		memory.Release() // else the run holds it
+	}
 	if reply.Accepted && args.Read.Wait > 0 {
 		reply.First = a.read(&args.Read)
 	}
@@ -46,12 +56,20 @@
 	}
 }
 
-// refuseRingFull refuses a request that does not fit into the command ring. A
-// request with a key may be a retry of one that ran, so its outcome is unknown.
-func (a *Agent) refuseRingFull(args *agentapi.SubmitArgs) agentapi.SubmitReply {
-	refusal := outcome.Refuse(outcome.ReasonRingFull, "the agent is overrun")
+// newClaim returns the claim of a request on the memory of the agent.
+func (a *Agent) newClaim() *membudget.Claim {
+	if a.deps.Memory == nil {
+		return nil
+	}
+	return a.deps.Memory.NewClaim(func() {}) // not called: the request is complete
+}
+
+// refuseOverload refuses a request for which the agent has no place or memory. A request
+// with a key may be a retry of one that ran, so its outcome is unknown.
+func (a *Agent) refuseOverload(args *agentapi.SubmitArgs, reason outcome.Reason, detail string) agentapi.SubmitReply {
+	refusal := outcome.Refuse(reason, detail)
 	if args.Keyed {
-		refusal = outcome.NewUnknown(outcome.ReasonRingFull, "the agent is overrun")
+		refusal = outcome.NewUnknown(reason, detail)
 	}
 	return agentapi.SubmitReply{Refusal: refusal.WithRetryAfter(time.Second), Status: a.Status()}
 }
--- a/agent/run.go
+++ b/agent/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
 	"github.com/sesameswitch/sesameswitch/clock"
+	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/statechart"
 )
@@ -16,7 +17,9 @@
 // the response.
 type run struct {
 	args agentapi.SubmitArgs
-	tier int
+	// memory is what the body takes until the run has ended; nil without a limit.
+	memory *membudget.Claim
+	tier   int
 	// keyed reports that the run is an at-most-once run and args.ID its
 	// idempotency key. Other runs are idempotent.
 	keyed     bool
@@ -35,9 +38,10 @@
 	cancel    context.CancelCauseFunc
 }
 
-func newRun(args agentapi.SubmitArgs, tier int, keyed bool, now time.Time, chart *statechart.Chart, c clock.Clock) *run {
+func newRun(args agentapi.SubmitArgs, memory *membudget.Claim, tier int, keyed bool, now time.Time, chart *statechart.Chart, c clock.Clock) *run {
 	r := &run{
 		args:      args,
+		memory:    memory,
 		tier:      tier,
 		keyed:     keyed,
 		arrivedAt: now,
@@ -60,9 +64,16 @@
 func (r *run) refuse(now time.Time, refusal *outcome.Refusal) {
 	r.fire("refuse")
 	r.endedAt = now
+	r.releaseBody()
 	r.response.finish(refusal)
 }
 
+// releaseBody gives back the memory of the body of a run that has ended.
+func (r *run) releaseBody() {
+	r.args.Body = nil
+	r.memory.Release()
+}
+
 // sinceLastRead returns how long ago the response was last read. It is zero while
 // a read is waiting.
 func (r *run) sinceLastRead(now time.Time) time.Duration {
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -191,10 +191,10 @@
 	default:
 		r.fire("fail")
 	}
+	r.releaseBody()
 	r.response.finish(refusal)
 	s.metrics.observeEnd(r.args.Class, now.Sub(r.startedAt), refusal)
 	s.record(timeline.RunFinished, r, r.machine.State(), timeline.Attributes{})
-	r.args.Body = nil
 	if !r.keyed {
 		s.ended = append(s.ended, r)
 		return
--- a/agent/submit.go
+++ b/agent/submit.go
@@ -8,13 +8,14 @@
 	"github.com/sesameswitch/sesameswitch/idempotency"
 	"github.com/sesameswitch/sesameswitch/internal/mutation"
 	"github.com/sesameswitch/sesameswitch/manifest"
+	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/timeline"
 )
 
 // submit accepts a request, joins it to the existing run with the same ID, or
 // refuses it.
-func (s *scheduler) submit(now time.Time, args *agentapi.SubmitArgs) agentapi.SubmitReply {
+func (s *scheduler) submit(now time.Time, args *agentapi.SubmitArgs, memory *membudget.Claim) agentapi.SubmitReply {
 	refusal := s.precheck(args)
 	if refusal != nil {
 		return s.refusalReply(args, refusal)
@@ -28,7 +29,7 @@
 		return s.refusalReply(args, s.refuseUnclaimed(args, outcome.ReasonStaleConfig, "the class changed its repeatability"))
 	}
 	if keyed {
-		return s.submitKeyed(now, args, class)
+		return s.submitKeyed(now, args, memory, class)
 	}
 	if existing, ok := s.runs.Load(args.ID); ok {
 		if existing.(*run).args.Account != args.Account {
@@ -36,7 +37,7 @@
 		}
 		return agentapi.SubmitReply{Accepted: true, Joined: true, Status: *s.status.Load()}
 	}
-	r := newRun(*args, class.Tier, false, now, s.chart, s.deps.Clock)
+	r := newRun(*args, memory, class.Tier, false, now, s.chart, s.deps.Clock)
 	return s.enqueue(now, r, class)
 }
 
@@ -71,11 +72,11 @@
 // submitKeyed claims the key of a request, so that the request runs at most once
 // during this incarnation. If the entry refuses the request, its key is sealed
 // instead.
-func (s *scheduler) submitKeyed(now time.Time, args *agentapi.SubmitArgs, class *manifest.Class) agentapi.SubmitReply {
+func (s *scheduler) submitKeyed(now time.Time, args *agentapi.SubmitArgs, memory *membudget.Claim, class *manifest.Class) agentapi.SubmitReply {
 	if args.Refuse != outcome.ReasonNone {
 		return s.seal(now, args)
 	}
-	createRun := func() *run { return newRun(*args, class.Tier, true, now, s.chart, s.deps.Clock) }
+	createRun := func() *run { return newRun(*args, memory, class.Tier, true, now, s.chart, s.deps.Clock) }
 	verdict, r, refusal := s.table.Claim(now, args.ID, args.Account, args.BodySum, createRun)
 	switch verdict {
 	case idempotency.New:
--- a/cmd/sesame-agent/main.go
+++ b/cmd/sesame-agent/main.go
@@ -71,7 +71,7 @@
 		Slots: f.Slots, StoredResponseBytes: f.KeptAnswerBytes, Policy: policy(f.Policy), Seed: uint64(now.UnixNano()),
 	}, agent.Dependencies{
 		BackendServer: httpprovider.NewBackendServer(f.BackendURL), Configuration: n.Configuration,
-		ObserveVersion: n.ObserveVersionFromVM, Clock: n.Clock, Metrics: n.Metrics, Timeline: n.Timeline,
+		ObserveVersion: n.ObserveVersionFromVM, Clock: n.Clock, Metrics: n.Metrics, Timeline: n.Timeline, Memory: n.Memory,
 	})
 	if err := n.PeerServer.Register("Agent", agent.NewRPCService(a)); err != nil {
 		return err
