Send large requests with one vectored write

A server that responds to the head early then found the body missing for a moment: it closed without a reset, so that its partial response without a length looked complete, or its caller left before the rest of the body was under way. Change: head and body are one vectored write, without a copy.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -60,7 +60,9 @@
 	// with the head. Socket buffers hold at least this much, so the write does
 	// not block.
 	maxInlineBodyBytes = 2 << 10
-	// maxCopiedBodyBytes is the largest body that is copied to be sent together with the head.
+	// maxCopiedBodyBytes is the largest body that is copied behind the head. Larger ones are
+	// sent with the head by one vectored write, so that a server that responds early finds the
+	// body there.
 	maxCopiedBodyBytes = 16 << 10
 )
 
@@ -264,17 +266,12 @@
 // writeRequest sends the request. A large body is sent by a separate goroutine,
 // because a backend server may respond before it has read the body.
 func (e *Exchange) writeRequest(r *Request) {
-	parts := [][]byte{r.Head, r.Body}
+	message := net.Buffers{r.Head, r.Body}
 	if len(r.Body) <= maxCopiedBodyBytes {
-		parts = [][]byte{append(append(make([]byte, 0, len(r.Head)+len(r.Body)), r.Head...), r.Body...)}
+		message = net.Buffers{append(append(make([]byte, 0, len(r.Head)+len(r.Body)), r.Head...), r.Body...)}
 	}
 	send := func() {
-		var err error
-		for _, part := range parts {
-			if _, err = e.conn.nc.Write(part); err != nil {
-				break
-			}
-		}
+		_, err := message.WriteTo(e.conn.nc)
 		e.writeDone <- err
 	}
 	if len(r.Body) <= maxInlineBodyBytes {
