Count and log connections that give way, and what requests hold

Cause: the new limits at the listeners for readiness, metrics, administration and peers closed connections without a trace, and nothing showed how close the memory and the connections of callers are to their limits. Change: a counter for each, log lines about peers at most once a second, and gauges sesame_gateway_request_memory_bytes, its peak, and sesame_gateway_caller_connections. Result: tests of peer, node and gateway pass with the race detector.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -311,7 +311,7 @@
 	d.startBackgroundTasks(ctx, group)
 	group.Go(func() error { return d.ingress.Serve(d.callerListener) })
 	readyServer := newInternalServer(http.HandlerFunc(d.readyz))
-	group.Go(func() error { return ignoreClosed(readyServer.Serve(limitInternal(d.readyListener))) })
+	group.Go(func() error { return ignoreClosed(readyServer.Serve(d.limitInternal(d.readyListener, "readiness"))) })
 	group.Go(func() error { return d.serveMetrics(ctx) })
 	group.Go(func() error {
 		defer cancel()
@@ -376,7 +376,7 @@
 	server := newInternalServer(d.metrics.Handler())
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	return ignoreClosed(server.Serve(limitInternal(listener)))
+	return ignoreClosed(server.Serve(d.limitInternal(listener, "metrics")))
 }
 
 // Limits of the listeners for readiness checks and for metrics.
@@ -390,14 +390,25 @@
 	return &http.Server{Handler: handler, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
 }
 
-// limitInternal limits the open connections of a listener that is not for callers.
-func limitInternal(l net.Listener) net.Listener {
-	return netlimit.NewListener(l, netlimit.Config{Max: maxInternalConnections})
+// limitInternal limits the open connections of a listener that is not for callers, and counts
+// those that give way.
+func (d *Daemon) limitInternal(l net.Listener, name string) net.Listener {
+	closed := d.metrics.Counter("sesame_gateway_internal_connections_closed_total", "listener", name)
+	return netlimit.NewListener(l, netlimit.Config{Max: maxInternalConnections, OnClose: func() { closed.Inc(1) }})
 }
 
-// sweepPool periodically closes connections that have been idle for too long.
+// sweepPool periodically closes connections that have been idle for too long, and updates the
+// gauges of what callers hold.
 func (d *Daemon) sweepPool(ctx context.Context) {
-	clock.Every(ctx, sweepPoolInterval, func() { d.pool.Sweep(func(string) bool { return true }) })
+	used, peak := d.metrics.Gauge("sesame_gateway_request_memory_bytes"), d.metrics.Gauge("sesame_gateway_request_memory_peak_bytes")
+	connections := d.metrics.Gauge("sesame_gateway_caller_connections")
+	clock.Every(ctx, sweepPoolInterval, func() {
+		d.pool.Sweep(func(string) bool { return true })
+		usage := d.memory.Usage()
+		used.Update(usage.Used)
+		peak.Update(usage.Peak)
+		connections.Update(int64(d.ingress.Connections()))
+	})
 }
 
 // checkPauses periodically checks whether the process did not run for some time.
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/configsync"
@@ -62,8 +63,16 @@
 func New(s Settings, id Identity, log *logrus.Logger) *Node {
 	c := clock.New()
 	memory := membudget.New(int64(peerMemoryShare*float64(s.MemoryBytes())), c)
+	metrics := telemetry.New()
 	peerConfig := peer.DefaultConfig()
 	peerConfig.Memory = memory
+	refusedLines := rate.Sometimes{Interval: refusedLineInterval}
+	peerConfig.OnRefused = func(address net.Addr, err error) {
+		metrics.Counter("sesame_peer_connections_refused_total").Inc(1)
+		refusedLines.Do(func() {
+			log.WithError(err).WithField("peer", address).Warn("connection of a peer closed: it exceeds the limits of messages or connections")
+		})
+	}
 	process := timeline.Process{VM: s.VM, Role: string(id.Role), DataCentre: s.DataCentre, Incarnation: id.Incarnation}
 	n := &Node{
 		Settings: s,
@@ -73,7 +82,7 @@
 		},
 		Clock:      c,
 		Log:        log,
-		Metrics:    telemetry.New(),
+		Metrics:    metrics,
 		Timeline:   timeline.New(process, s.TimelineEvents, c),
 		Peers:      peer.NewPool(peer.DefaultConfig()),
 		PeerServer: peer.NewServer(peerConfig),
@@ -94,6 +103,9 @@
 // requests that agents hold, may take.
 const peerMemoryShare = 0.25
 
+// refusedLineInterval is the shortest time between two log lines about refused connections.
+const refusedLineInterval = time.Second
+
 // hooks returns functions that record accepted and refused configuration
 // documents in metrics, time line and log.
 func (n *Node) hooks() configsync.Hooks {
@@ -161,7 +173,8 @@
 	server := &http.Server{
 		Handler: n.admin, ReadHeaderTimeout: adminReadTimeout, IdleTimeout: adminIdleTimeout, MaxHeaderBytes: maxAdminHeaderBytes,
 	}
-	return server, netlimit.NewListener(listener, netlimit.Config{Max: maxAdminConnections}), nil
+	closed := n.Metrics.Counter("sesame_admin_connections_closed_total")
+	return server, netlimit.NewListener(listener, netlimit.Config{Max: maxAdminConnections, OnClose: func() { closed.Inc(1) }}), nil
 }
 
 // Limits of the admin listener. A follower of the time line keeps its connection.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -11,6 +11,7 @@
 
 import (
 	"errors"
+	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -46,6 +47,9 @@
 	// MaxConnections limits the connections that a Server accepts; beyond it, one on which no
 	// message has arrived gives way. Zero means no limit.
 	MaxConnections int
+	// OnRefused, if set, is called when a Server closes a connection because of these limits. It
+	// must not block.
+	OnRefused func(address net.Addr, err error)
 	// Memory limits what the messages that a Server receives hold together. A message waits for
 	// room up to ReadTimeout, and one that has stopped gives way: its connection is closed. nil
 	// means no limit.
--- a/peer/server.go
+++ b/peer/server.go
@@ -23,6 +23,7 @@
 // serverConn is an accepted connection.
 type serverConn struct {
 	*conn
+	cfg Config
 	// mu guards frames.
 	mu     sync.Mutex
 	frames frames
@@ -31,9 +32,12 @@
 }
 
 func newServerConn(c net.Conn, cfg Config, traffic *Traffic) *serverConn {
-	s := &serverConn{conn: newConn(c, cfg, traffic), frames: frames{maxBytes: cfg.MaxMessageBytes, patience: cfg.ReadTimeout}, acceptedAt: time.Now()}
+	s := &serverConn{conn: newConn(c, cfg, traffic), cfg: cfg, frames: frames{maxBytes: cfg.MaxMessageBytes, patience: cfg.ReadTimeout}, acceptedAt: time.Now()}
 	if cfg.Memory != nil {
-		s.frames.memory = cfg.Memory.NewClaim(func() { c.Close() })
+		s.frames.memory = cfg.Memory.NewClaim(func() {
+			c.Close()
+			cfg.refused(c, errStopped)
+		})
 	}
 	return s
 }
@@ -44,6 +48,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if frameErr := c.frames.arrived(p[:n]); frameErr != nil {
+		c.cfg.refused(c, frameErr)
 		return 0, frameErr
 	}
 	return n, err
@@ -120,9 +125,23 @@
 	}
 	victim.Close()
 	delete(s.conns, victim)
+	s.cfg.refused(victim, errTooManyConnections)
 	return true
 }
 
+// Reasons for closing a connection in favour of another one.
+var (
+	errTooManyConnections = eris.New("peer: too many connections")
+	errStopped            = eris.New("peer: a message has stopped while memory was short")
+)
+
+// refused reports a connection that is closed because of the limits.
+func (c *Config) refused(conn net.Conn, err error) {
+	if c.OnRefused != nil {
+		c.OnRefused(conn.RemoteAddr(), err)
+	}
+}
+
 func (s *Server) serveConn(c *serverConn) {
 	s.rpc.ServeConn(c)
 	c.Close() // a message may still wait for memory
