--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -176,6 +176,9 @@
 		}
 		grown := make([]byte, len(body), size)
 		copy(grown, body)
+		if cap(body) > readBufferBytes {
+			f.req.in.Memory.Shrink(int64(cap(body))) // the first buffer is not claimed
+		}
 		body = grown
 	}
 }
