Keep no grown buffer on idle connections to backend servers

Cause: a head above 4 KB grows the buffer of its connection, up to 64 KB, and the pooled connection kept it. Change: a connection that becomes idle gets a buffer of the usual size. Result: TestIdleConnectionKeepsNoGrownBuffer, five times with the race detector. It was not run on the code before.

--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -80,6 +80,43 @@
 	}
 }
 
+// TestIdleConnectionKeepsNoGrownBuffer checks that a long head does not take memory longer than its
+// exchange.
+func TestIdleConnectionKeepsNoGrownBuffer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		for br := bufio.NewReader(c); ; {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+strings.Repeat("X-A: b\r\n", 5000)+"\r\nok")
+		}
+	}()
+	pool := New(Config{})
+	for range 3 {
+		ex, err := pool.Do(context.Background(), &Request{Address: l.Addr().String(), Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(readerFunc(ex.Read)); err != nil || string(body) != "ok" {
+			t.Fatalf("got body %q, error %v", body, err)
+		}
+		ex.Release()
+		if n := pool.OpenConnections(l.Addr().String()); n != 1 || ex.conn.br.Size() != readBufferBytes {
+			t.Errorf("%d open connections, buffer of %d bytes, want 1 and %d", n, ex.conn.br.Size(), readBufferBytes)
+		}
+	}
+}
+
 type readerFunc func([]byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -188,8 +188,12 @@
 	return p.open[address]
 }
 
-// addIdle adds a connection to the idle ones.
+// addIdle adds a connection without unread bytes to the idle ones. A buffer that a head has grown
+// is not kept.
 func (p *Pool) addIdle(c *conn) {
+	if c.br.Size() > readBufferBytes {
+		c.br = bufio.NewReaderSize(c.received, readBufferBytes)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.address] = append(p.idle[c.address], c)
