Test callers of an entry that do not read long responses

Cause: no test showed what an entry and its agent hold for such callers. Change: TestCrowdAtEntryThatDoesNotRead, 400 callers, responses of 2 MB.

--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -27,6 +28,7 @@
 	// sent.
 	peerFrameBytes = 16 << 20
 	adminCrowd     = 500
+	silentReaders  = 400
 	entryKey       = "crowd-key"
 )
 
@@ -52,7 +54,7 @@
 	entryAdmin, agentAdmin string
 }
 
-func startPair(t *testing.T) *pair {
+func startPair(t *testing.T, agentArgs ...string) *pair {
 	t.Helper()
 	d, err := testbed.New(binDir, t.TempDir())
 	if err != nil {
@@ -67,7 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	agent, err := d.StartAgent(testbed.AgentSpec{VM: "agent-1", DataCentre: "a", Backend: service, Services: "booking", Slots: 8})
+	agent, err := d.StartAgent(testbed.AgentSpec{VM: "agent-1", DataCentre: "a", Backend: service, Services: "booking", Slots: 8, Args: agentArgs})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -159,6 +161,27 @@
 	}
 }
 
+// TestCrowdAtEntryThatDoesNotRead lets many callers of an entry request long responses that they
+// do not read.
+func TestCrowdAtEntryThatDoesNotRead(t *testing.T) {
+	long := []byte(strings.Repeat("y", 2<<20))
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/long") {
+			_, _ = w.Write(long)
+		}
+	}))
+	t.Cleanup(backend.Close)
+	p := startPair(t, "--backend-url", backend.URL)
+	leave := crowdOf(t, p.callers, silentReaders, p.entry, func(conn net.Conn, _ int) {
+		_, _ = io.WriteString(conn, strings.Replace(post("Content-Length: 0"), "/lookup", "/long", 1)+"\r\n")
+	})
+	eventually(t, "ordinary request served beside the crowd", p.ordinary)
+	p.check(t)
+	leave()
+	eventually(t, "ordinary request served after the crowd", p.ordinary)
+	p.check(t)
+}
+
 // TestCrowdAtPeerListeners lets strangers send frames of calls that end short of their length.
 func TestCrowdAtPeerListeners(t *testing.T) {
 	// A gob message begins with its length; 0xfc states that three bytes follow.
