--- a/crowd/client_test.go
+++ b/crowd/client_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/sesameswitch/sesameswitch/platform/standin"
 )
 
 // settleTime is how long a crowd whose members have sent all that they send stays before the
@@ -124,7 +126,7 @@
 
 // head returns the head of a request without its final empty line.
 func head(method, target, id string, fields ...string) string {
-	lines := append([]string{fmt.Sprintf("%s %s HTTP/1.1", method, target), "Host: app.example", "X-Attempt-Id: " + id}, fields...)
+	lines := append([]string{fmt.Sprintf("%s %s HTTP/1.1", method, target), "Host: app.example", standin.RequestIDLine(id)}, fields...)
 	return strings.Join(lines, "\r\n") + "\r\n"
 }
 
--- a/crowd/gateway_test.go
+++ b/crowd/gateway_test.go
@@ -113,6 +113,17 @@
 	return status == http.StatusOK && strings.HasPrefix(body, "from i-")
 }
 
+// serveBeside checks that ordinary requests are served beside a crowd, the largest ones after it,
+// and that the process lives within its bounds.
+func (g *gateway) serveBeside(t *testing.T, leave func()) {
+	t.Helper()
+	eventually(t, "ordinary request served beside the crowd", func() bool { return g.ordinary("/safe/beside") })
+	g.check(t)
+	leave()
+	eventually(t, "largest request served after the crowd", g.largest)
+	g.check(t)
+}
+
 // checkRefusals fails the test if a request that was refused as not run has reached the
 // replica.
 func (g *gateway) checkRefusals(t *testing.T, got *responses) {
@@ -120,7 +131,7 @@
 	received := make(map[string]bool)
 	for _, replica := range g.replicas {
 		for _, r := range replica.ReceivedRequests() {
-			received[r.Header.Get("X-Attempt-Id")] = true
+			received[r.RequestID()] = true
 		}
 	}
 	got.mu.Lock()
@@ -199,12 +210,8 @@
 				got.read(conn, id)
 				send(conn, number, head("POST", "/unsafe/crowd", id))
 			})
-			eventually(t, "ordinary request served beside the crowd", func() bool { return g.ordinary("/safe/beside") })
-			g.check(t)
-			leave()
-			eventually(t, "largest request served after the crowd", g.largest)
+			g.serveBeside(t, leave)
 			g.checkRefusals(t, got)
-			g.check(t)
 		})
 	}
 }
@@ -224,12 +231,8 @@
 		_, _ = io.WriteString(conn, head("POST", "/long/crowd", id)+fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes))
 		writeBytes(conn, maxBodyBytes, len(bodyBytes))
 	})
-	eventually(t, "ordinary request served beside the crowd", func() bool { return g.ordinary("/safe/beside") })
-	g.check(t)
-	leave()
-	eventually(t, "largest request served after the crowd", g.largest)
+	g.serveBeside(t, leave)
 	g.checkRefusals(t, got)
-	g.check(t)
 }
 
 // TestCrowdWithHeads lets many callers send heads with many short fields, complete ones
@@ -242,11 +245,7 @@
 			leave := crowdOf(t, g.callers, maxDescriptors-100, g.process, func(conn net.Conn, number int) {
 				_, _ = io.WriteString(conn, head("POST", "/unsafe/crowd", fmt.Sprintf("crowd-%d", number), "Content-Length: 2")+fields+end)
 			})
-			eventually(t, "ordinary request served beside the crowd", func() bool { return g.ordinary("/safe/beside") })
-			g.check(t)
-			leave()
-			eventually(t, "largest request served after the crowd", g.largest)
-			g.check(t)
+			g.serveBeside(t, leave)
 		})
 	}
 }
@@ -263,11 +262,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := startGateway(t)
 			leave := crowdOf(t, g.callers, 2*maxDescriptors, g.process, use)
-			eventually(t, "ordinary request served beside the crowd", func() bool { return g.ordinary("/safe/beside") })
-			g.check(t)
-			leave()
-			eventually(t, "largest request served after the crowd", g.largest)
-			g.check(t)
+			g.serveBeside(t, leave)
 		})
 	}
 }
@@ -283,11 +278,7 @@
 	leave := crowdOf(t, g.callers, crowdSize, g.process, func(conn net.Conn, number int) {
 		_, _ = io.WriteString(conn, head("GET", "/long/crowd", fmt.Sprintf("crowd-%d", number))+"\r\n")
 	})
-	eventually(t, "ordinary request served beside the crowd", func() bool { return g.ordinary("/safe/beside") })
-	g.check(t)
-	leave()
-	eventually(t, "largest request served after the crowd", g.largest)
-	g.check(t)
+	g.serveBeside(t, leave)
 }
 
 // TestCrowdAtOtherListeners lets strangers send large heads to the listeners for readiness
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -2,17 +2,13 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"github.com/sesameswitch/sesameswitch/internal/httphead"
 )
 
 // conn is one connection to a backend server.
@@ -30,32 +26,6 @@
 	answered func(http.Header) bool
 }
 
-// peekHead returns the bytes of the next response head, including its final empty line, without
-// consuming them.
-func (c *conn) peekHead() ([]byte, error) {
-	for searched := 0; ; {
-		buffered, _ := c.br.Peek(c.br.Buffered()) // cannot fail: the bytes are in memory
-		if end := httphead.End(buffered, searched); end >= 0 {
-			return buffered[:end], nil
-		}
-		searched = len(buffered)
-		if searched == c.br.Size() {
-			c.growBuffer(buffered)
-		}
-		if _, err := c.br.Peek(searched + 1); err != nil {
-			return nil, err
-		}
-	}
-}
-
-// growBuffer replaces the reader with one that has a buffer of twice the size and starts with
-// the buffered bytes.
-func (c *conn) growBuffer(buffered []byte) {
-	data := bytes.Clone(buffered)
-	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(data), c.received), 2*len(data))
-	_, _ = c.br.Peek(len(data)) // cannot fail: the bytes are in memory
-}
-
 // takeIdle removes a reusable idle connection from the pool and returns it, or
 // nil if there is none.
 func (p *Pool) takeIdle(address string) *conn {
