Keep the exemption from the memory limit with one request

Cause: a request was served above the limit if no other one was larger than 128 KB. One that had been served so, and then gave a part back, was not counted any more. The next request was then also the only large one, although the sum was already above the limit.

Change: the budget remembers which request took the sum above its share, until the sum is back within it. Nobody else is served above the limit meanwhile.

Measured: TestExemptionBelongsToOneRequest failed before (2,359,296 bytes held of 163,840) and passes.

--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -5,8 +5,8 @@
 // below the limit of a Budget. Requests whose input has stopped give way first; the last part of
 // the limit is kept for small requests, so that ordinary callers are served beside such a crowd.
 //
-// Callers may assume that the sum of all claims exceeds the limit only by one claim that is the
-// only large one: a single request is served whatever its size.
+// Callers may assume that the sum of all claims exceeds the limit only by one claim, which was the
+// only large one when it grew: a single request is served whatever its size.
 package membudget
 
 import (
@@ -40,6 +40,9 @@
 	// used is the sum of all claims, large the sum of those above mediumBytes, in bytes.
 	used, large int64
 	peak        int64
+	// exempt is the claim that was admitted above its share as the only large one. It is nil
+	// again once the sum is within the share of that claim.
+	exempt *Claim
 	// incomplete holds the claims of requests whose input is not complete.
 	incomplete map[*Claim]struct{}
 }
@@ -136,7 +139,11 @@
 		return false
 	}
 	share := b.shareOf(c.held + n)
-	for b.used+n > share && !b.onlyLarge(c, n) {
+	for b.used+n > share {
+		if b.onlyLarge(c, n) {
+			b.exempt = c
+			break
+		}
 		if !b.evictOne(c) {
 			return false
 		}
@@ -178,8 +185,12 @@
 	}
 }
 
-// onlyLarge reports whether the claim with n more bytes is a large one and no other is.
+// onlyLarge reports whether the claim with n more bytes is a large one and no other is large or
+// exempt.
 func (b *Budget) onlyLarge(c *Claim, n int64) bool {
+	if b.exempt != nil && b.exempt != c {
+		return false
+	}
 	others := b.large
 	if c.held > mediumBytes {
 		others -= c.held
@@ -198,6 +209,9 @@
 		b.large += c.held
 	}
 	b.peak = max(b.peak, b.used)
+	if b.exempt != nil && b.used <= b.shareOf(b.exempt.held) {
+		b.exempt = nil
+	}
 }
 
 // evictOne makes the incomplete request that has made no progress for longest give way. It
--- a/membudget/membudget_test.go
+++ b/membudget/membudget_test.go
@@ -118,6 +118,27 @@
 	}
 }
 
+// TestExemptionBelongsToOneRequest checks that a second request is not served above the limit
+// while the one that was the only large one takes the sum above it, whatever its size is by then.
+func TestExemptionBelongsToOneRequest(t *testing.T) {
+	const limit = mediumBytes + mediumBytes/4
+	c := newCrowd(limit)
+	first, second := c.begin(), c.begin()
+	for _, claim := range []*Claim{first, second} {
+		if !claim.Grow(4 * megabyte) {
+			t.Fatal("no room for the only large request")
+		}
+		claim.Shrink(4*megabyte - mediumBytes)
+	}
+	if first.Grow(2 * megabyte) {
+		t.Errorf("two requests hold %d bytes of %d", c.Usage().Used, limit)
+	}
+	second.Release()
+	if !first.Grow(2 * megabyte) {
+		t.Error("no room for the only large request after the other one has ended")
+	}
+}
+
 // TestBudgetInvariants runs random sequences: the claims add up, they stay within the limit but
 // for the only large one, and nothing remains in the end.
 func TestBudgetInvariants(t *testing.T) {
