Count a buffer that is being replaced to the size of no request

What callers saw: beside a crowd with large bodies, sound requests with bodies of 64 to 128 KB were refused (503), although a part of the memory is kept for requests of that size. The same held for requests of 8 to 16 KB that follow a head.

Cause: while a buffer is copied to one of twice its size, both are claimed, and the share of the limit that a request may use followed from their sum: a body of 100 KB counted as one of 192 KB.

Change: Claim.Replace names the bytes of the buffer that is replaced. Both buffers count against the limit as before, but the share follows from what the request holds afterwards.

Measured: TestGrowingBodyHasShareOfItsSize failed before (no room for a body of 100 KB beside bodies of 1 MB that take their share of 16 MB) and passes. TestBudgetInvariants, now with replacements: 20,000 random sequences pass.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -170,15 +170,16 @@
 		if len(body) < cap(body) {
 			continue
 		}
-		size := 2 * cap(body)
-		if size > maxBufferedBytes || !f.req.in.Memory.Grow(int64(size)) {
+		size, claimed := 2*cap(body), int64(0)
+		if cap(body) > readBufferBytes {
+			claimed = int64(cap(body)) // the first buffer is not claimed
+		}
+		if size > maxBufferedBytes || !f.req.in.Memory.Replace(claimed, int64(size)) {
 			return body, false, nil
 		}
 		grown := make([]byte, len(body), size)
 		copy(grown, body)
-		if cap(body) > readBufferBytes {
-			f.req.in.Memory.Shrink(int64(cap(body))) // the first buffer is not claimed
-		}
+		f.req.in.Memory.Shrink(claimed)
 		body = grown
 	}
 }
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -128,7 +128,11 @@
 // Grow claims n more bytes. If there is no room, incomplete requests without progress give way,
 // the one without progress for longest first. Grow returns false, and claims nothing, if there
 // is still no room or this request had to give way itself.
-func (c *Claim) Grow(n int64) bool {
+func (c *Claim) Grow(n int64) bool { return c.Replace(0, n) }
+
+// Replace claims n more bytes, as Grow does, for a buffer that replaces one of old bytes. The old
+// buffer counts until Shrink gives it back, but it does not make the request a larger one.
+func (c *Claim) Replace(old, n int64) bool {
 	if c == nil {
 		return true
 	}
@@ -138,9 +142,9 @@
 	if c.evicted {
 		return false
 	}
-	share := b.shareOf(c.held + n)
-	for b.used+n > share {
-		if b.onlyLarge(c, n) {
+	size := c.held - old + n
+	for b.used+n > b.shareOf(size) {
+		if b.onlyLarge(c, size) {
 			b.exempt = c
 			break
 		}
@@ -185,9 +189,9 @@
 	}
 }
 
-// onlyLarge reports whether the claim with n more bytes is a large one and no other is large or
-// exempt.
-func (b *Budget) onlyLarge(c *Claim, n int64) bool {
+// onlyLarge reports whether a claim that grows to the given size is a large one, and no other is
+// large or exempt.
+func (b *Budget) onlyLarge(c *Claim, size int64) bool {
 	if b.exempt != nil && b.exempt != c {
 		return false
 	}
@@ -195,7 +199,7 @@
 	if c.held > mediumBytes {
 		others -= c.held
 	}
-	return c.held+n > mediumBytes && others == 0
+	return size > mediumBytes && others == 0
 }
 
 // add changes what a claim holds.
--- a/membudget/membudget_test.go
+++ b/membudget/membudget_test.go
@@ -1,6 +1,7 @@
 package membudget
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -118,6 +119,20 @@
 	}
 }
 
+// TestGrowingBodyHasShareOfItsSize checks that a medium body finds room beside large ones also while
+// its buffer is copied to a larger one.
+func TestGrowingBodyHasShareOfItsSize(t *testing.T) {
+	c := newCrowd(16 * megabyte)
+	for c.begin().Grow(megabyte) {
+	}
+	const size = 100 << 10
+	for _, announced := range []int64{size, -1} {
+		if _, err := ReadBody(c.begin(), bytes.NewReader(make([]byte, size)), announced, megabyte); err != nil {
+			t.Errorf("announced length %d: %v", announced, err)
+		}
+	}
+}
+
 // TestExemptionBelongsToOneRequest checks that a second request is not served above the limit
 // while the one that was the only large one takes the sum above it, whatever its size is by then.
 func TestExemptionBelongsToOneRequest(t *testing.T) {
@@ -149,7 +164,7 @@
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			claim := rapid.SampledFrom(claims).Draw(t, "claim")
 			n := rapid.Int64Range(1, 2*megabyte).Draw(t, "bytes")
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0, 1:
 				claim.Grow(n)
 			case 2:
@@ -163,6 +178,10 @@
 				claim.Begin()
 			case 6:
 				c.clock.Advance(time.Duration(n) * time.Microsecond)
+			case 7:
+				if old := claim.held / 2; claim.Replace(old, n) {
+					claim.Shrink(old)
+				}
 			}
 			var sum, largest int64
 			for _, claim := range claims {
--- a/membudget/read.go
+++ b/membudget/read.go
@@ -36,7 +36,7 @@
 			if size == len(content) {
 				size++ // the next read finds the end
 			}
-			if !claim.Grow(int64(size)) {
+			if !claim.Replace(int64(cap(content)), int64(size)) {
 				return nil, ErrNoRoom
 			}
 			grown := make([]byte, len(content), size)
