Limit the responses that an agent keeps

Cause: an agent kept the responses of ended runs until their reader was done, or for a second after delivery, and nothing added them up. Bytes that the reader had acknowledged stayed allocated with the rest of their buffer.

Change: buffers of responses claim memory of the budget that queued bodies use. A response that nobody has read for a second gives way if another one needs the memory, a delivered one at once; its run ends with the outcome unknown and an answer_discarded event. If nothing gives way the run waits, and its reader gets what there is. Responses of at-most-once runs never give way. Acknowledged bytes are freed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -105,7 +105,8 @@
 	Clock          clock.Clock
 	Metrics        *telemetry.Metrics
 	Timeline       *timeline.Recorder
-	// Memory limits the bodies of requests that are queued or run; nil means no limit.
+	// Memory limits the bodies of requests that are queued or run, and their responses until they
+	// are removed or stored; nil means no limit.
 	Memory *membudget.Budget
 }
 
--- a/agent/cleanup.go
+++ b/agent/cleanup.go
@@ -113,6 +113,7 @@
 	for _, r := range s.ended {
 		if r.removable(now) {
 			s.runs.CompareAndDelete(r.args.ID, r)
+			r.response.discard()
 			continue
 		}
 		remaining = append(remaining, r)
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -52,6 +52,9 @@
 	if errors.As(err, &sendError) && sendError.NotSent() {
 		return outcome.Refuse(outcome.ReasonBackendServerFailed, "the backend server cannot be reached")
 	}
+	if errors.Is(err, errUnreadResponse) {
+		return outcome.NewUnknown(outcome.ReasonMemory, errUnreadResponse.Error())
+	}
 	if errors.Is(context.Cause(ctx), errBackendSilent) {
 		return outcome.NewUnknown(outcome.ReasonTimeout, errBackendSilent.Error())
 	}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -18,8 +18,11 @@
 	// discarded counts stored responses that were discarded in favour of newer
 	// ones.
 	discarded metrics.Counter
-	running   metrics.Gauge
-	queued    metrics.Gauge
+	// unread counts responses that were discarded because nobody read them while memory was
+	// short.
+	unread  metrics.Counter
+	running metrics.Gauge
+	queued  metrics.Gauge
 }
 
 func newAgentMetrics(registry *telemetry.Metrics) *agentMetrics {
@@ -27,6 +30,7 @@
 		registry:  registry,
 		joined:    registry.Counter("sesame_agent_joined_total"),
 		discarded: registry.Counter("sesame_agent_answers_discarded_total"),
+		unread:    registry.Counter("sesame_agent_unread_discarded_total"),
 		running:   registry.Gauge("sesame_agent_running"),
 		queued:    registry.Gauge("sesame_agent_queued"),
 	}
--- a/agent/response.go
+++ b/agent/response.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/clock"
+	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/outcome"
 )
 
@@ -13,9 +16,23 @@
 // waits for the reader. A response that is retained has no such limit.
 const maxUnreadBytes = 1 << 20
 
+// Errors and intervals of append.
+var errUnreadResponse = errors.New("the response was not read while memory was short")
+
+const (
+	// minBufferBytes is the size of the first buffer of a response.
+	minBufferBytes = 1 << 10
+	// memoryPollInterval is how often a response looks for memory.
+	memoryPollInterval = 10 * time.Millisecond
+)
+
 // response buffers the response of a backend server, so that it can be read from
 // any offset, over any connection. It is safe for concurrent use.
 type response struct {
+	// memory is what the buffer takes; nil without a limit. While nobody reads, the response
+	// gives way if others need its memory, unless it is retained.
+	memory *membudget.Claim
+
 	mu sync.Mutex
 	// retain keeps the bytes that were already read, because a retry of the key
 	// reads the response again from the start.
@@ -29,6 +46,9 @@
 	header       map[string]string
 	baseOffset   int64 // offset of data[0]
 	data         []byte
+	allocated    int64 // size of the buffer that data is a part of
+	readers      int   // number of reads in progress
+	starved      bool  // append waits for memory
 	finished     bool
 	refusal      *outcome.Refusal
 	changed      chan struct{} // closed and replaced at each change
@@ -49,8 +69,17 @@
 	discarded bool
 }
 
-func newResponse(retain bool, c clock.Clock) *response {
-	return &response{retain: retain, clock: c, changed: make(chan struct{})}
+// newResponse returns a response whose buffer counts to a budget; nil means no limit. onGiveWay is
+// called when the response has been discarded because nobody read it while memory was short.
+func newResponse(retain bool, c clock.Clock, budget *membudget.Budget, onGiveWay func()) *response {
+	r := &response{retain: retain, clock: c, changed: make(chan struct{})}
+	if budget != nil {
+		r.memory = budget.NewClaim(func() {
+			r.discard()
+			onGiveWay()
+		})
+	}
+	return r
 }
 
 // progress returns when the first bytes arrived, or zero if none did, and how many
@@ -84,21 +113,28 @@
 	r.header = header
 }
 
-// append adds bytes. Unless the response is retained, append blocks while more
-// than maxUnreadBytes are buffered, and returns an error when the context ends
-// meanwhile.
+// append adds bytes. It blocks while there is no memory for them and, unless the response is
+// retained, while more than maxUnreadBytes are buffered. It returns an error when the context ends
+// meanwhile, or when the response had to give way because nobody read it.
 func (r *response) append(ctx context.Context, data []byte) error {
 	r.mu.Lock()
-	for !r.retain && len(r.data) > maxUnreadBytes {
-		changed := r.changed
-		r.mu.Unlock()
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ctx.Err()
+	defer r.mu.Unlock()
+	for {
+		full := !r.retain && len(r.data) > maxUnreadBytes
+		if !full && r.reserve(len(data)) {
+			break
+		}
+		if r.memory.Evicted() {
+			return errUnreadResponse
+		}
+		if r.starved = !full; r.starved {
+			r.notify() // readers take what there is
+		}
+		if err := r.await(ctx); err != nil {
+			return err
 		}
-		r.mu.Lock()
 	}
+	r.starved = false
 	r.lastBytesAt = r.clock.Now()
 	if r.firstBytesAt.IsZero() {
 		r.firstBytesAt = r.lastBytesAt
@@ -106,10 +142,71 @@
 	r.events++
 	r.data = append(r.data, data...)
 	r.notify()
+	return nil
+}
+
+// await waits for a change or, if memory is missing, for memoryPollInterval. The caller holds mu,
+// which is released meanwhile.
+func (r *response) await(ctx context.Context) error {
+	changed := r.changed
+	var poll <-chan time.Time
+	if r.starved {
+		poll = time.After(memoryPollInterval)
+	}
 	r.mu.Unlock()
+	defer r.mu.Lock()
+	select {
+	case <-changed:
+	case <-poll:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	return nil
 }
 
+// reserve makes room in the buffer for n more bytes. It returns false if there is no memory. The
+// caller holds mu.
+func (r *response) reserve(n int) bool {
+	needed := len(r.data) + n
+	if needed <= cap(r.data) {
+		return true
+	}
+	size := max(needed, minBufferBytes, 2*len(r.data))
+	if !r.memory.Replace(r.allocated, int64(size)) {
+		size = needed
+		if !r.memory.Replace(r.allocated, int64(size)) {
+			return false
+		}
+	}
+	r.moveTo(make([]byte, len(r.data), size))
+	if r.readers == 0 {
+		r.awaitReader()
+	}
+	return true
+}
+
+// moveTo moves the bytes to a buffer whose memory is claimed. The caller holds mu.
+func (r *response) moveTo(buffer []byte) {
+	copy(buffer, r.data)
+	r.memory.Shrink(r.allocated)
+	r.data, r.allocated = buffer, int64(cap(buffer))
+}
+
+// awaitReader lets the response give way until it is read, unless it is retained. The caller holds
+// mu.
+func (r *response) awaitReader() {
+	if !r.retain && r.allocated > 0 {
+		r.memory.AwaitProgress()
+	}
+}
+
+// free drops the buffer. The caller holds mu.
+func (r *response) free() {
+	r.memory.Complete()
+	r.memory.Shrink(r.allocated)
+	r.data, r.allocated = nil, 0
+}
+
 // finish ends the response. A nil refusal means that the response is complete.
 // Calls after the first have no effect.
 func (r *response) finish(refusal *outcome.Refusal) {
@@ -135,7 +232,30 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.baseOffset += int64(len(r.data))
-	r.data = nil
+	r.free()
+	r.notify()
+}
+
+// delivered records that a reader has received the response to its end. It is kept for another
+// read if memory allows it.
+func (r *response) delivered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.retain && r.allocated > 0 && r.readers == 0 {
+		r.memory.Abandon()
+	}
+}
+
+// store prepares a finished response for being stored: its buffer does not count to the budget any
+// more, and has no more than its size.
+func (r *response) store() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if cap(r.data) > len(r.data) {
+		r.data = slices.Clone(r.data)
+	}
+	r.memory.Release()
+	r.memory, r.allocated = nil, 0
 }
 
 // read acknowledges the bytes before the offset and returns a chunk from the
@@ -144,8 +264,15 @@
 func (r *response) read(ctx context.Context, offset int64, minBytes, maxBytes int) chunk {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.readers++
+	r.memory.Complete()
+	defer func() {
+		if r.readers--; r.readers == 0 {
+			r.awaitReader()
+		}
+	}()
 	r.acknowledge(offset)
-	for !r.finished && r.baseOffset+int64(len(r.data)) < offset+int64(minBytes) {
+	for !r.finished && r.baseOffset <= offset && r.available(offset) < int64(minBytes) && (!r.starved || r.available(offset) <= 0) {
 		changed := r.changed
 		r.mu.Unlock()
 		select {
@@ -159,6 +286,12 @@
 	return r.chunk(offset, maxBytes)
 }
 
+// available returns how many bytes are buffered from the offset on; it is negative if there are
+// fewer than that. The caller holds mu.
+func (r *response) available(offset int64) int64 {
+	return r.baseOffset + int64(len(r.data)) - offset
+}
+
 // acknowledge frees the bytes before the offset, which the reader has received,
 // unless the response is retained. An offset beyond the buffered bytes has no
 // effect. The caller holds mu.
@@ -174,7 +307,9 @@
 	r.data = r.data[n:]
 	r.baseOffset = offset
 	if len(r.data) == 0 {
-		r.data = nil
+		r.free()
+	} else if rest := len(r.data); int64(rest) <= r.allocated/4 && r.memory.Replace(r.allocated, int64(rest)) {
+		r.moveTo(make([]byte, rest))
 	}
 	if full {
 		r.notify()
@@ -195,7 +330,8 @@
 	end := r.baseOffset + int64(len(r.data))
 	stop := min(end, offset+int64(maxBytes))
 	if offset < stop {
-		c.data = append([]byte(nil), r.data[offset-r.baseOffset:stop-r.baseOffset]...)
+		from, to := offset-r.baseOffset, stop-r.baseOffset
+		c.data = r.data[from:to:to] // these bytes do not change: appending and moving write others
 	}
 	if r.finished && stop >= end {
 		c.final = true
--- a/agent/response_test.go
+++ b/agent/response_test.go
@@ -18,7 +18,7 @@
 var startTime = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
 
 func newTestResponse(retain bool) *response {
-	return newResponse(retain, clock.NewManual(startTime))
+	return newResponse(retain, clock.NewManual(startTime), nil, nil)
 }
 
 // endedContext returns a context that has ended, so that reads and appends do not
--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -109,6 +109,7 @@
 	r.lastReadAt.Store(a.deps.Clock.Now().UnixNano())
 	if c.final {
 		r.delivered.Store(true)
+		r.response.delivered()
 	}
 	return c
 }
--- a/agent/run.go
+++ b/agent/run.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
-	"github.com/sesameswitch/sesameswitch/clock"
 	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/statechart"
+	"github.com/sesameswitch/sesameswitch/timeline"
 )
 
 // run is one request at this agent, from its submission until it is removed. Only
@@ -38,20 +38,31 @@
 	cancel    context.CancelCauseFunc
 }
 
-func newRun(args agentapi.SubmitArgs, memory *membudget.Claim, tier int, keyed bool, now time.Time, chart *statechart.Chart, c clock.Clock) *run {
+// newRun returns a run that has not been queued.
+func (s *scheduler) newRun(args agentapi.SubmitArgs, memory *membudget.Claim, tier int, keyed bool, now time.Time) *run {
 	r := &run{
 		args:      args,
 		memory:    memory,
 		tier:      tier,
 		keyed:     keyed,
 		arrivedAt: now,
-		response:  newResponse(keyed, c),
-		machine:   chart.New(),
+		machine:   s.chart.New(),
 	}
+	r.response = newResponse(keyed, s.deps.Clock, s.deps.Memory, func() { s.recordDiscarded(r) })
 	r.lastReadAt.Store(now.UnixNano())
 	return r
 }
 
+// recordDiscarded records that a response gave way while memory was short.
+func (s *scheduler) recordDiscarded(r *run) {
+	detail := "it was delivered and kept for another read"
+	if !r.delivered.Load() {
+		detail = errUnreadResponse.Error()
+		s.metrics.unread.Inc(1)
+	}
+	s.record(timeline.ResponseDiscarded, r, detail, timeline.Attributes{Reason: string(outcome.ReasonMemory)})
+}
+
 // fire applies an event to the state machine of the run. It panics when the chart
 // has no transition for the event, which would be a bug in the scheduler.
 func (r *run) fire(event string) {
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -199,6 +199,7 @@
 		s.ended = append(s.ended, r)
 		return
 	}
+	r.response.store()
 	s.metrics.discarded.Inc(int64(s.stored.add(r)))
 }
 
--- a/agent/submit.go
+++ b/agent/submit.go
@@ -37,7 +37,7 @@
 		}
 		return agentapi.SubmitReply{Accepted: true, Joined: true, Status: *s.status.Load()}
 	}
-	r := newRun(*args, memory, class.Tier, false, now, s.chart, s.deps.Clock)
+	r := s.newRun(*args, memory, class.Tier, false, now)
 	return s.enqueue(now, r, class)
 }
 
@@ -76,7 +76,7 @@
 	if args.Refuse != outcome.ReasonNone {
 		return s.seal(now, args)
 	}
-	createRun := func() *run { return newRun(*args, memory, class.Tier, true, now, s.chart, s.deps.Clock) }
+	createRun := func() *run { return s.newRun(*args, memory, class.Tier, true, now) }
 	verdict, r, refusal := s.table.Claim(now, args.ID, args.Account, args.BodySum, createRun)
 	switch verdict {
 	case idempotency.New:
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -43,7 +43,8 @@
 	// exempt is the claim that was admitted above its share as the only large one. It is nil
 	// again once the sum is within the share of that claim.
 	exempt *Claim
-	// incomplete holds the claims of requests whose input is not complete.
+	// incomplete holds the claims of requests that wait for their caller: to send the rest of
+	// the input, or to read the response.
 	incomplete map[*Claim]struct{}
 }
 
@@ -115,6 +116,35 @@
 	return !c.evicted
 }
 
+// AwaitProgress records that the request, although its input is complete, waits for its caller
+// again, such as to read the response. From now on it may give way until the next Complete.
+func (c *Claim) AwaitProgress() {
+	if c == nil {
+		return
+	}
+	c.await(c.budget.clock.Now())
+}
+
+// Abandon records that what the claim holds is of little use any more. It gives way at once if
+// another request needs its memory, until the next Complete.
+func (c *Claim) Abandon() {
+	if c == nil {
+		return
+	}
+	c.await(time.Time{})
+}
+
+func (c *Claim) await(progressAt time.Time) {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.evicted {
+		return
+	}
+	c.progressAt, c.unconfirmed = progressAt, 0
+	b.incomplete[c] = struct{}{}
+}
+
 // Evicted reports whether the present request had to give way.
 func (c *Claim) Evicted() bool {
 	if c == nil {
--- a/membudget/membudget_test.go
+++ b/membudget/membudget_test.go
@@ -83,6 +83,36 @@
 	}
 }
 
+// TestUnreadResponsesGiveWay checks that a complete request gives way while it waits for its caller
+// to read, one that was abandoned at once and before the others, and that it stays evicted.
+func TestUnreadResponsesGiveWay(t *testing.T) {
+	c := newCrowd(4 * megabyte)
+	read, unread, abandoned := c.begin(), c.begin(), c.begin()
+	for _, claim := range []*Claim{read, unread, abandoned} {
+		if !claim.Complete() || !claim.Grow(megabyte) {
+			t.Fatal("no room")
+		}
+	}
+	read.AwaitProgress()
+	read.Complete()
+	unread.AwaitProgress()
+	abandoned.Abandon()
+	if !c.begin().Grow(megabyte) || !abandoned.Evicted() || unread.Evicted() {
+		t.Fatal("the abandoned request did not give way at once")
+	}
+	abandoned.AwaitProgress()
+	if abandoned.Grow(1) {
+		t.Error("a request that gave way grows again")
+	}
+	if c.begin().Grow(megabyte) {
+		t.Error("a request gave way before StallTime")
+	}
+	c.clock.Advance(StallTime)
+	if !c.begin().Grow(megabyte) || !unread.Evicted() || read.Evicted() {
+		t.Error("the unread response did not give way")
+	}
+}
+
 // TestSmallRequestsFindRoom replays ordinary callers beside a crowd with large bodies.
 func TestSmallRequestsFindRoom(t *testing.T) {
 	c := newCrowd(16 * megabyte)
@@ -164,7 +194,7 @@
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			claim := rapid.SampledFrom(claims).Draw(t, "claim")
 			n := rapid.Int64Range(1, 2*megabyte).Draw(t, "bytes")
-			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0, 1:
 				claim.Grow(n)
 			case 2:
@@ -182,6 +212,10 @@
 				if old := claim.held / 2; claim.Replace(old, n) {
 					claim.Shrink(old)
 				}
+			case 8:
+				claim.AwaitProgress()
+			case 9:
+				claim.Abandon()
 			}
 			var sum, largest int64
 			for _, claim := range claims {
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -46,6 +46,8 @@
 	RunCancelled      Kind = "run_cancelled"
 	ResponseCompleted Kind = "answer_completed"
 	ResponseFailed    Kind = "answer_failed"
+	// ResponseDiscarded means that an agent dropped a response that nobody read.
+	ResponseDiscarded Kind = "answer_discarded"
 	ConfigAccepted    Kind = "config_accepted"
 	ConfigRefused     Kind = "config_refused"
 	ProcessState      Kind = "process_state"
