Limit the responses that an entry holds for its callers

What callers saw: an entry whose callers asked for long responses and did not read them went above its memory, 549 and 576 MB of 256; a response that nobody read stayed for as long as its caller stayed connected, also while the process was asked to stop.

Cause: a response that is not a stream is buffered, up to 16 MB, until the caller has it. Nothing added these buffers up, and no time limit held for writes to the caller.

Change: the buffer counts to the claim of its request. While it is written, a response of which the connection takes nothing for a second gives way if another request needs memory: its connection is closed, and the request is recorded with the outcome unknown. A response that finds no memory waits up to 3 s, as its request has run; then it fails with the outcome unknown, is not run again, and does not count against the agent. Each write of 16 KB has 30 s, as those of streams have.

--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -29,7 +29,10 @@
 	peerFrameBytes = 16 << 20
 	adminCrowd     = 500
 	silentReaders  = 400
-	entryKey       = "crowd-key"
+	// longReaders is the size of the crowd that requests responses of longResponseBytes.
+	longReaders       = 100
+	longResponseBytes = 12 << 20
+	entryKey          = "crowd-key"
 )
 
 const entryManifest = `version: 1
@@ -182,6 +185,35 @@
 	p.check(t)
 }
 
+// TestCrowdAtEntryWithLongResponses lets many callers of an entry request responses near the largest
+// size, which they do not read.
+func TestCrowdAtEntryWithLongResponses(t *testing.T) {
+	long := []byte(strings.Repeat("y", longResponseBytes))
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/long") {
+			_, _ = w.Write(long)
+		}
+	}))
+	t.Cleanup(backend.Close)
+	p := startPair(t, "--backend-url", backend.URL)
+	requestLong := strings.Replace(post("Content-Length: 0", "Connection: close"), "/lookup", "/long", 1) + "\r\n"
+	longServed := func() bool {
+		status, body := request(p.callers, requestLong)
+		return status == http.StatusOK && len(body) == longResponseBytes
+	}
+	if !longServed() {
+		t.Fatal("a long response was not delivered in calm")
+	}
+	leave := crowdOf(t, p.callers, longReaders, p.entry, func(conn net.Conn, _ int) {
+		_, _ = io.WriteString(conn, requestLong)
+	})
+	eventually(t, "ordinary request served beside the crowd", p.ordinary)
+	p.check(t)
+	leave()
+	eventually(t, "long response delivered after the crowd", longServed)
+	p.check(t)
+}
+
 // TestCrowdAtPeerListeners lets strangers send frames of calls that end short of their length.
 func TestCrowdAtPeerListeners(t *testing.T) {
 	// A gob message begins with its length; 0xfc states that three bytes follow.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -69,7 +69,7 @@
 		}
 		mayHaveRun = true
 		attempts++
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || refusal.Reason == outcome.ReasonMemory { // another run would need the same memory
 			break
 		}
 		retry = true
@@ -184,6 +184,9 @@
 // agent. An agent that could not be reached has failed, although the request did
 // not run.
 func observationKind(refusal *outcome.Refusal) routing.ObservationKind {
+	if refusal.Reason == outcome.ReasonMemory && refusal.Outcome == outcome.Unknown {
+		return routing.KindCancelled // the response was not read; the agent refused nothing
+	}
 	switch refusal.Reason {
 	case outcome.ReasonCancelled:
 		return routing.KindCancelled
--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -8,9 +8,12 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/outcome"
 )
@@ -44,6 +47,61 @@
 	// occupied is true while the handler of a complete request runs, hijacked once a stream has
 	// taken the connection from the HTTP server.
 	occupied, hijacked atomic.Bool
+	// current is the exchange of the present request; nil before the first one that claims memory.
+	current atomic.Pointer[exchange]
+}
+
+// exchange is one request and its response on a connection. It breaks off when the request has to
+// give way. It is safe for concurrent use.
+type exchange struct {
+	conn net.Conn
+	mu   sync.Mutex
+	// responding is true while the response is written, ended afterwards.
+	responding, ended bool
+	gaveWay           bool
+}
+
+// errUnreadResponse means that a caller did not read its response while memory was short.
+var errUnreadResponse = eris.New("entry: the caller did not read the response while memory was short")
+
+// giveWay makes reading the rest of the request fail, or writing the rest of the response.
+func (x *exchange) giveWay() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case x.ended:
+	case x.responding:
+		x.gaveWay = true
+		_ = x.conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	default:
+		_ = x.conn.SetReadDeadline(time.Unix(1, 0)) // as above
+	}
+}
+
+// allowWrite gives the next write of the response callerWriteTimeout.
+func (x *exchange) allowWrite() error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.gaveWay {
+		return errUnreadResponse
+	}
+	x.responding = true
+	return x.conn.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+}
+
+// end ends the exchange. After a broken write the connection cannot be used again. end returns an
+// error if the response had to give way.
+func (x *exchange) end(writeErr error) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.ended = true
+	if x.gaveWay {
+		return errUnreadResponse
+	}
+	if writeErr != nil {
+		return writeErr
+	}
+	return x.conn.SetWriteDeadline(time.Time{})
 }
 
 // callerConnOf returns the connection of a caller that the HTTP server uses; nil if it is not one
@@ -91,14 +149,24 @@
 	return c
 }
 
+// currentExchange returns the exchange of a request; nil if its connection is not known.
+func currentExchange(r *http.Request) *exchange {
+	if conn := requestConn(r); conn != nil {
+		return conn.current.Load()
+	}
+	return nil
+}
+
 // newClaim returns the claim of a request on the memory of the entry. If the request has to give
-// way, reading its body fails.
+// way, its exchange breaks off.
 func (e *Entry) newClaim(r *http.Request) *membudget.Claim {
 	conn := requestConn(r)
 	if e.memory == nil || conn == nil {
 		return nil
 	}
-	claim := e.memory.NewClaim(func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }) // fails only on a closed connection
+	x := &exchange{conn: conn}
+	conn.current.Store(x)
+	claim := e.memory.NewClaim(x.giveWay)
 	claim.Begin()
 	return claim
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -9,6 +9,7 @@
 	"github.com/sesameswitch/sesameswitch/clock"
 
 	"github.com/sesameswitch/sesameswitch/agentapi"
+	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/outcome"
 	"github.com/sesameswitch/sesameswitch/peer"
 	"github.com/sesameswitch/sesameswitch/routing"
@@ -159,7 +160,9 @@
 		f.timeToFirstByte = f.entry.since(f.sentAt)
 		f.entry.agents.observe(f.chosen, f.observationNow(routing.KindFirstToken))
 	}
-	if err := f.forward(reply.Data); err != nil {
+	if err := f.forward(reply.Data); errors.Is(err, errNoResponseMemory) {
+		return true, outcome.NewUnknown(outcome.ReasonMemory, "other responses hold the memory").WithRetryAfter(membudget.StallTime)
+	} else if err != nil {
 		return true, outcome.NewUnknown(outcome.ReasonCancelled, "the caller gave up")
 	}
 	if !reply.Final {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -315,7 +315,7 @@
 	e.retryBudget.SetRatio(req.retryRatio)
 	e.retryBudget.RecordRequest(e.deps.Clock.Now())
 	if !req.args.Stream {
-		e.serveToEnd(ctx.Request().Context(), req, newBufferSink(ctx.ResponseWriter(), req.id))
+		e.serveToEnd(ctx.Request().Context(), req, newBufferSink(ctx.ResponseWriter(), ctx.Request(), req))
 		return
 	}
 	if conn, ok := hijack(ctx.ResponseWriter(), ctx.Request()); ok {
@@ -330,7 +330,12 @@
 func (e *Entry) serveToEnd(ctx context.Context, req *request, out responseSink) {
 	defer req.memory.Release()
 	refusal := e.serve(ctx, req, out)
-	out.end(refusal)
+	switch err := out.end(refusal); {
+	case errors.Is(err, errUnreadResponse):
+		refusal = outcome.NewUnknown(outcome.ReasonMemory, err.Error())
+	case err != nil:
+		refusal = outcome.NewUnknown(outcome.ReasonCancelled, "the caller did not read the response in time")
+	}
 	e.metrics.countResponse(req, refusal, e.since(req.receivedAt))
 	if refusal == nil {
 		e.deps.Timeline.RecordWith(timeline.ResponseCompleted, req.id, "", timeline.Attributes{Outcome: string(outcome.Completed)})
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -2,52 +2,103 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
+	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sesameswitch/sesameswitch/membudget"
 	"github.com/sesameswitch/sesameswitch/outcome"
 )
 
 // responseSink is a sink that can end the response.
 type responseSink interface {
 	sink
-	// end ends the response; a nil refusal means that the response is complete.
-	end(refusal *outcome.Refusal)
-}
+	// end ends the response; a nil refusal means that the response is complete. It returns
+	// errUnreadResponse if the response had to give way, and os.ErrDeadlineExceeded if the caller
+	// did not read it in time. A caller that has disconnected is no error.
+	end(refusal *outcome.Refusal) error
+}
+
+const (
+	// minResponseBuffer is the size of the first buffer of a response.
+	minResponseBuffer = 4 << 10
+	// responseMemoryWait is how long a response waits for memory, and responseMemoryPoll how often
+	// it looks for it. Responses that are not read give way after membudget.StallTime.
+	responseMemoryWait = 3 * membudget.StallTime
+	responseMemoryPoll = 10 * time.Millisecond
+	// responsePieceBytes is the size of one write to a caller.
+	responsePieceBytes = 16 << 10
+)
+
+// errNoResponseMemory means that there was no memory for a response within responseMemoryWait.
+var errNoResponseMemory = eris.New("entry: no memory for the response")
 
 // bufferSink sends a response once it is complete, or a problem document.
 type bufferSink struct {
-	w      http.ResponseWriter
-	id     string
-	code   int
-	header map[string]string
-	body   []byte
-}
-
-func newBufferSink(w http.ResponseWriter, id string) *bufferSink {
-	return &bufferSink{w: w, id: id}
+	w  http.ResponseWriter
+	id string
+	// memory is what the request and its response hold; nil without a limit.
+	memory *membudget.Claim
+	// exchange breaks off if the caller does not read while memory is short; nil without a limit.
+	exchange *exchange
+	code     int
+	header   map[string]string
+	body     []byte
+}
+
+func newBufferSink(w http.ResponseWriter, r *http.Request, req *request) *bufferSink {
+	s := &bufferSink{w: w, id: req.id, memory: req.memory}
+	if req.memory != nil {
+		s.exchange = currentExchange(r)
+	}
+	return s
 }
 
 func (s *bufferSink) head(code int, header map[string]string) {
 	s.code = code
 	s.header = header
-	s.body = nil
+	s.body = s.body[:0]
 }
 
 func (s *bufferSink) write(data []byte) error {
 	if len(s.body)+len(data) > maxBufferedBytes {
 		return eris.New("entry: the response is too long to buffer")
 	}
+	if err := s.reserve(len(s.body) + len(data)); err != nil {
+		return err
+	}
 	s.body = append(s.body, data...)
 	return nil
 }
 
-func (s *bufferSink) end(refusal *outcome.Refusal) {
+// reserve makes the buffer hold at least the given bytes. It waits for memory.
+func (s *bufferSink) reserve(needed int) error {
+	if needed <= cap(s.body) {
+		return nil
+	}
+	size := min(max(needed, minResponseBuffer, 2*cap(s.body)), maxBufferedBytes)
+	for deadline := time.Now().Add(responseMemoryWait); !s.memory.Replace(int64(cap(s.body)), int64(size)); {
+		if time.Now().After(deadline) {
+			return errNoResponseMemory
+		}
+		time.Sleep(responseMemoryPoll)
+	}
+	grown := make([]byte, len(s.body), size)
+	copy(grown, s.body)
+	s.memory.Shrink(int64(cap(s.body)))
+	s.body = grown
+	return nil
+}
+
+func (s *bufferSink) end(refusal *outcome.Refusal) error {
 	if refusal != nil {
 		writeProblem(s.w, s.id, refusal)
-		return
+		return nil
 	}
 	h := s.w.Header()
 	copyHeaders(h, s.header)
@@ -55,7 +106,41 @@
 	h.Set(HeaderRequestID, s.id)
 	h.Set("Content-Length", strconv.Itoa(len(s.body)))
 	s.w.WriteHeader(s.code)
-	_, _ = s.w.Write(s.body) // an error means that the caller has disconnected
+	err := s.writeBody()
+	if errors.Is(err, errUnreadResponse) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	return nil // another error means that the caller has disconnected
+}
+
+// writeBody writes the body in pieces. If the caller reads none of them for membudget.StallTime, the
+// response gives way when memory is short; after callerWriteTimeout it fails in any case.
+func (s *bufferSink) writeBody() error {
+	if s.exchange == nil {
+		_, err := s.w.Write(s.body)
+		return err
+	}
+	s.memory.AwaitProgress()
+	err := s.writePieces()
+	s.memory.Complete()
+	return s.exchange.end(err)
+}
+
+func (s *bufferSink) writePieces() error {
+	for piece := range slices.Chunk(s.body, responsePieceBytes) {
+		if err := s.exchange.allowWrite(); err != nil {
+			return err
+		}
+		n, err := s.w.Write(piece)
+		if err != nil {
+			return err
+		}
+		s.memory.Received(n)
+	}
+	if f, ok := s.w.(http.Flusher); ok {
+		f.Flush() // within the time of the last write
+	}
+	return nil
 }
 
 // streamSink forwards a server-sent event stream as it arrives. The outcome
@@ -95,17 +180,18 @@
 	return nil
 }
 
-func (s *streamSink) end(refusal *outcome.Refusal) {
+func (s *streamSink) end(refusal *outcome.Refusal) error {
 	if refusal == nil {
 		s.w.Header().Set(outcome.HeaderOutcome, string(outcome.Completed))
-		return
+		return nil
 	}
 	if !s.headSent {
 		writeProblem(s.w, s.id, refusal)
-		return
+		return nil
 	}
 	_ = s.write(errorEvent(refusal, s.id)) // an error means that the caller has disconnected
 	s.w.Header().Set(outcome.HeaderOutcome, string(refusal.Outcome))
+	return nil
 }
 
 // errorEvent returns the event that ends a broken stream.
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -99,10 +99,10 @@
 	return err
 }
 
-func (s *hijackedSink) end(refusal *outcome.Refusal) {
+func (s *hijackedSink) end(refusal *outcome.Refusal) error {
 	if !s.headSent && refusal != nil {
 		s.writeProblem(refusal)
-		return
+		return nil
 	}
 	result := outcome.Completed
 	if refusal != nil {
@@ -113,6 +113,7 @@
 		b.WriteString("0\r\n" + outcome.HeaderOutcome + ": " + string(result) + "\r\n\r\n")
 		return nil
 	}) // an error means that the caller has disconnected
+	return nil
 }
 
 // writeProblem sends a problem document instead of a stream.
