Share the memory for requests among accounts when it is short

Cause: whoever asked first got the room that requests left, so a crowd took it in proportion to its number.

Change: ingress attributes a request with a body of more than 16 KB to the account of its key before it reads the body; those without a known key share one place. If nobody has stopped, the incomplete requests of the account that holds most give way to an account that holds less than an equal share: 503 with Retry-After, true, as nothing was sent. Entries do the same with the account that they have checked. Log lines of refusals by ingress name the account.

Ruled out: room in the order of arrival, and a share for each address (docs/design/memory.md).

--- a/crowd/gateway_test.go
+++ b/crowd/gateway_test.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,7 +11,9 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/sesameswitch/sesameswitch/platform/standin"
 	"github.com/sesameswitch/sesameswitch/testbed"
@@ -24,6 +27,11 @@
 	maxBodyBytes   = 1 << 20
 	maxHeaderBytes = 8 << 10
 	crowdSize      = 250
+	// returningCrowd is the size of the crowd that comes again after each refusal.
+	returningCrowd = 150
+	// uploads is how many requests of the largest size an account sends beside that crowd, one
+	// after another.
+	uploads = 20
 	// stopShort is how many bytes of a body most members of a crowd do not send.
 	stopShort = 1
 	// completeEvery: one member in completeEvery sends its body to the end.
@@ -37,14 +45,21 @@
 	callers, ready, peers, metrics string
 	replicas                       []*standin.Replica
 	requests                       int
+	// keyLines holds the header line with the key of ordinary requests, if there are keys.
+	keyLines []string
 }
 
-func startGateway(t *testing.T) *gateway {
+// startGateway starts a gateway. If keys are given, all routes need one of them, and ordinary
+// requests use the first.
+func startGateway(t *testing.T, keys ...string) *gateway {
 	t.Helper()
 	store := standin.NewStore()
-	config := strings.Replace(string(standin.ConfigDocument(1)), `"max_body_bytes":65536`, fmt.Sprintf(`"max_body_bytes":%d`, maxBodyBytes), 1)
+	config := strings.Replace(string(standin.ConfigDocument(1, keys...)), `"max_body_bytes":65536`, fmt.Sprintf(`"max_body_bytes":%d`, maxBodyBytes), 1)
 	store.Put("op/config", []byte(config))
 	g := &gateway{}
+	if len(keys) > 0 {
+		g.keyLines = []string{standin.APIKeyLine(keys[0])}
+	}
 	for i := range replicaCount {
 		replica, err := standin.NewReplica(fmt.Sprintf("i-%d", i+1))
 		if err != nil {
@@ -102,14 +117,14 @@
 // ordinary makes a small request and reports whether it was served.
 func (g *gateway) ordinary(target string) bool {
 	g.requests++
-	status, body := request(g.callers, head("POST", target, fmt.Sprintf("ordinary-%d", g.requests), "Content-Length: 5")+"\r\nhello")
+	status, body := request(g.callers, head("POST", target, fmt.Sprintf("ordinary-%d", g.requests), append(g.keyLines, "Content-Length: 5")...)+"\r\nhello")
 	return status == http.StatusOK && strings.HasPrefix(body, "from i-")
 }
 
 // largest makes a request with a body of the maximum size and reports whether it was served.
 func (g *gateway) largest() bool {
 	g.requests++
-	status, body := request(g.callers, head("POST", "/safe/large", fmt.Sprintf("large-%d", g.requests), "Content-Length: "+strconv.Itoa(maxBodyBytes))+"\r\n"+strings.Repeat("x", maxBodyBytes))
+	status, body := request(g.callers, head("POST", "/safe/large", fmt.Sprintf("large-%d", g.requests), append(g.keyLines, "Content-Length: "+strconv.Itoa(maxBodyBytes))...)+"\r\n"+strings.Repeat("x", maxBodyBytes))
 	return status == http.StatusOK && strings.HasPrefix(body, "from i-")
 }
 
@@ -235,6 +250,53 @@
 	g.checkRefusals(t, got)
 }
 
+// TestUploadBesideReturningCrowd lets many callers without a known key send large bodies that stop
+// short, again at once whenever they are refused. An account uploads beside them.
+func TestUploadBesideReturningCrowd(t *testing.T) {
+	g := startGateway(t, "key-1")
+	ctx, cancel := context.WithCancel(t.Context())
+	var crowd sync.WaitGroup
+	leave := func() {
+		cancel()
+		crowd.Wait()
+	}
+	defer leave()
+	arrived := make(chan struct{}, returningCrowd)
+	for number := range returningCrowd {
+		crowd.Go(func() {
+			for attempt := 0; ctx.Err() == nil; attempt++ {
+				g.sendIncomplete(ctx, fmt.Sprintf("crowd-%d-%d", number, attempt))
+				if attempt == 0 {
+					arrived <- struct{}{}
+				}
+			}
+		})
+	}
+	for range returningCrowd {
+		<-arrived
+	}
+	for range uploads {
+		eventually(t, "largest request served beside the crowd", g.largest)
+	}
+	g.serveBeside(t, leave)
+}
+
+// sendIncomplete sends a request whose body stops short, and waits until the connection is closed, a
+// response arrives or the context ends.
+func (g *gateway) sendIncomplete(ctx context.Context, id string) {
+	conn, err := net.DialTimeout("tcp", g.callers, waitTimeout)
+	if err != nil {
+		return // the process may refuse connections
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+	_, _ = io.WriteString(conn, head("POST", "/safe/crowd", id, "Content-Length: "+strconv.Itoa(maxBodyBytes))+"\r\n")
+	if writeBytes(conn, maxBodyBytes-stopShort, len(bodyBytes)) {
+		_, _ = conn.Read(make([]byte, 1))
+	}
+}
+
 // TestCrowdWithHeads lets many callers send heads with many short fields, complete ones
 // followed by an incomplete body, and incomplete ones.
 func TestCrowdWithHeads(t *testing.T) {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -105,6 +105,9 @@
 	switch {
 	case errors.As(err, &tooLarge), errors.Is(err, membudget.ErrTooLarge):
 		return nil, outcome.Refuse(outcome.ReasonTooLarge, "the body is too large")
+	case !complete && claim.Displaced():
+		ctx.Header("Connection", "close")
+		return nil, outcome.Refuse(outcome.ReasonMemory, "the account holds more than its share of the memory").WithRetryAfter(membudget.StallTime)
 	case !complete:
 		ctx.Header("Connection", "close")
 		return nil, outcome.Refuse(outcome.ReasonSlowRequest, "the body stopped while memory was short")
@@ -222,6 +225,7 @@
 	c, refusal := e.authenticate(ctx)
 	if refusal == nil {
 		req.account = c.account
+		req.memory.Attribute(c.account.Name)
 		refusal = read(ctx, c, req)
 	}
 	refusal = unknownIfKeyed(refusal, ctx.GetHeader(HeaderIdempotencyKey))
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -43,6 +43,7 @@
 // its current incarnation.
 func (e *Entry) mint(ctx iris.Context, c caller) *outcome.Refusal {
 	claim := e.newClaim(ctx.Request())
+	claim.Attribute(c.account.Name)
 	defer claim.Release()
 	body, refusal := readBody(ctx, claim, c.config.Manifest.Limits.MaxBodyBytes)
 	if refusal != nil {
--- a/gateway/callerlimits.go
+++ b/gateway/callerlimits.go
@@ -77,23 +77,42 @@
 // body was malformed, too large or received too slowly.
 func (d *Daemon) onIngressRefusal(r ingress.Refusal) {
 	usage := d.memory.Usage()
+	info := d.requestInfoOf(r.Header)
 	d.log.WithFields(logrus.Fields{
-		"event": "request_refused", "request": d.requestInfoOf(r).ID, "status": r.Status, "reason": r.Reason, "no_answer": NoAnswerRefused,
+		"event": "request_refused", "request": info.ID, "account": d.accountName(info), "status": r.Status, "reason": r.Reason, "no_answer": NoAnswerRefused,
 		"retry_after_ms": r.RetryAfter.Milliseconds(), "memory_used": usage.Used, "memory_limit": usage.Limit,
 	}).Info("request refused by ingress: its head or body could not be read")
 	d.server.metrics.refused("", "unreadable")
 	d.server.metrics.unanswered(NoAnswerRefused)
 }
 
-// requestInfoOf returns the metadata of a request that ingress refused; empty if they are not
-// known.
-func (d *Daemon) requestInfoOf(r ingress.Refusal) *RequestInfo {
-	if r.Header == nil {
+// accountOf returns the name of the account of a request whose body has not been read; empty if it
+// is not known.
+func (d *Daemon) accountOf(r *http.Request) string { return d.accountName(d.requestInfoOf(r.Header)) }
+
+// accountName returns the name of the account of a request; empty if it has no key that the active
+// configuration knows.
+func (d *Daemon) accountName(info *RequestInfo) string {
+	table := d.view.Table()
+	if table == nil {
+		return ""
+	}
+	account := table.Authenticate(info.APIKey)
+	if account == nil {
+		return ""
+	}
+	return account.Name
+}
+
+// requestInfoOf returns the metadata of a request that has not been read completely; empty if they
+// are not known.
+func (d *Daemon) requestInfoOf(header http.Header) *RequestInfo {
+	if header == nil {
 		return &RequestInfo{}
 	}
-	info, err := d.platform.Codec.DecodeRequest(&ingress.Request{Header: r.Header})
+	info, err := d.platform.Codec.DecodeRequest(&ingress.Request{Header: header})
 	if err != nil {
-		return &RequestInfo{}
+		return &RequestInfo{} // refused once its body has been read
 	}
 	return info
 }
@@ -103,7 +122,7 @@
 // together find room one after another, as the requests of others end.
 func (d *Daemon) ingressRefusalHeader(r ingress.Refusal) http.Header {
 	delay := time.Duration((minMemoryDelayShare + d.server.random()) * float64(r.RetryAfter))
-	return d.platform.Codec.RefusalHeader(d.requestInfoOf(r), delay)
+	return d.platform.Codec.RefusalHeader(d.requestInfoOf(r.Header), delay)
 }
 
 // minMemoryDelayShare is the smallest delay of a caller that was refused for lack of memory, as a
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -153,7 +153,7 @@
 	d.memory = membudget.New(requestMemory(settings.Limits.MemoryBytes), monotonic)
 	d.ingress = ingress.New(ingress.Config{
 		Handle: d.handle, Limits: d.limits, CloseAfterResponse: d.closeAfterResponse, OnRefusal: d.onIngressRefusal,
-		Memory: d.memory, RefusalHeader: d.ingressRefusalHeader,
+		Memory: d.memory, Account: d.accountOf, RefusalHeader: d.ingressRefusalHeader,
 		MaxConnections: maxCallerConnections(settings.Limits), OnConnectionLimit: d.connectionLimitReporter(),
 	})
 	return d, nil
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -193,6 +193,8 @@
 	freeHeadBytes = 8 << 10
 	// headerFieldBytes is what a parsed header field takes in addition to its text.
 	headerFieldBytes = 128
+	// sharedBodyBytes is the size above which a body counts to the share of its account.
+	sharedBodyBytes = 16 << 10
 )
 
 // parsedHeadBytes returns how much memory a parsed head takes, beyond freeHeadBytes.
@@ -206,6 +208,14 @@
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "memory is short", RetryAfter: membudget.StallTime}
 }
 
+// evictionRefusal is the refusal of a request that had to give way while its body was read.
+func (c *conn) evictionRefusal() *Refusal {
+	if c.memory.Displaced() {
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "the account holds more than its share of the memory", RetryAfter: membudget.StallTime}
+	}
+	return &Refusal{Status: http.StatusRequestTimeout, Reason: "the body stopped while memory was short"}
+}
+
 // head returns the bytes of the request head without consuming them.
 func (c *conn) head(limit int) ([]byte, error) {
 	for {
@@ -253,13 +263,16 @@
 			return nil, nil //nolint:nilerr // the caller disconnected
 		}
 	}
+	if account := c.server.cfg.Account; account != nil && (parsed.ContentLength < 0 || parsed.ContentLength > sharedBodyBytes) {
+		c.memory.Attribute(account(parsed))
+	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := membudget.ReadBody(c.memory, parsed.Body, parsed.ContentLength, limits.BodyBytes)
 	switch {
 	case errors.Is(err, membudget.ErrTooLarge):
 		return nil, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "the body is too large"}
 	case c.memory.Evicted():
-		return nil, &Refusal{Status: http.StatusRequestTimeout, Reason: "the body stopped while memory was short"}
+		return nil, c.evictionRefusal()
 	case errors.Is(err, membudget.ErrNoRoom):
 		return nil, memoryRefusal()
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -269,7 +282,7 @@
 	case err != nil:
 		return nil, &Refusal{Status: http.StatusBadRequest, Reason: "the body cannot be read"}
 	case !c.memory.Complete():
-		return nil, &Refusal{Status: http.StatusRequestTimeout, Reason: "the body stopped while memory was short"}
+		return nil, c.evictionRefusal()
 	}
 	return &Request{
 		Method: parsed.Method, Target: parsed.RequestURI, Host: parsed.Host, Header: parsed.Header, Body: body,
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -68,6 +68,9 @@
 	OnConnectionLimit func(closed ConnectionState)
 	// Memory limits what requests hold; nil means no limit.
 	Memory *membudget.Budget
+	// Account, if set, returns the account of a request from its head; empty if it is not known.
+	// Accounts share Memory when it is short.
+	Account func(*http.Request) string
 	// RefusalHeader, if set, returns the header fields of a refusal.
 	RefusalHeader func(Refusal) http.Header
 }
--- a/ingress/memory_test.go
+++ b/ingress/memory_test.go
@@ -34,7 +34,8 @@
 		Limits: func() Limits {
 			return Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
 		},
-		Memory: m.budget,
+		Memory:  m.budget,
+		Account: func(r *http.Request) string { return r.Header.Get("X-Account") },
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -48,6 +49,12 @@
 
 // send begins a request with a body of the length, of which it sends the given part.
 func (m *memoryServer) send(length, part int) net.Conn {
+	m.t.Helper()
+	return m.sendAs("", length, part)
+}
+
+// sendAs is send for an account.
+func (m *memoryServer) sendAs(account string, length, part int) net.Conn {
 	m.t.Helper()
 	conn, err := net.Dial("tcp", m.address)
 	if err != nil {
@@ -56,7 +63,7 @@
 	m.t.Cleanup(func() { conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
 	go func() {
-		_, _ = io.WriteString(conn, fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", part))) // fails if the request is refused
+		_, _ = io.WriteString(conn, fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nX-Account: %s\r\nContent-Length: %d\r\n\r\n%s", account, length, strings.Repeat("x", part))) // fails if the request is refused
 	}()
 	return conn
 }
@@ -103,6 +110,28 @@
 	m.awaitUsed(func(used int64) bool { return used == 0 })
 }
 
+// TestAccountsShareMemory checks that the uploads of one account that hold all memory give way to one
+// of another account before they have stopped, and what their callers get.
+func TestAccountsShareMemory(t *testing.T) {
+	const large = 180 << 10
+	m := newMemoryServer(t)
+	var crowd []net.Conn
+	for n := int64(1); n <= 3; n++ {
+		crowd = append(crowd, m.sendAs("crowd", large, large-1))
+		m.awaitUsed(func(used int64) bool { return used == n*large })
+		m.clock.Advance(time.Millisecond)
+	}
+	if got, body := status(t, m.sendAs("crowd", large, large)); got != http.StatusServiceUnavailable {
+		t.Errorf("the same account: got %d %q, want 503", got, body)
+	}
+	if got, body := status(t, m.sendAs("other", large, large)); got != http.StatusOK || body != fmt.Sprint(large) {
+		t.Errorf("another account: got %d %q, want 200", got, body)
+	}
+	if got, body := status(t, crowd[0]); got != http.StatusServiceUnavailable || !strings.Contains(body, "share") {
+		t.Errorf("displaced upload: got %d %q, want 503", got, body)
+	}
+}
+
 // TestMemoryIsGivenBack checks that a connection holds nothing between requests, and that what it
 // holds ends with it.
 func TestMemoryIsGivenBack(t *testing.T) {
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -43,6 +43,8 @@
 	// exempt is the claim that was admitted above its share as the only large one. It is nil
 	// again once the sum is within the share of that claim.
 	exempt *Claim
+	// accounts holds the accounts of requests that were attributed to one, by name.
+	accounts map[string]*account
 	// incomplete holds the claims of requests that wait for their caller: to send the rest of
 	// the input, or to read the response.
 	incomplete map[*Claim]struct{}
@@ -50,7 +52,14 @@
 
 // New returns a budget with a limit in bytes.
 func New(limit int64, c clock.Clock) *Budget {
-	return &Budget{limit: limit, clock: c, incomplete: make(map[*Claim]struct{})}
+	return &Budget{limit: limit, clock: c, incomplete: make(map[*Claim]struct{}), accounts: make(map[string]*account)}
+}
+
+// account is what the requests of one account hold.
+type account struct {
+	name   string
+	held   int64
+	claims int
 }
 
 // Usage is the use of a budget in bytes.
@@ -69,10 +78,16 @@
 	budget *Budget
 	evict  func()
 	held   int64
+	// account is whose request it is; nil if it was not attributed to one.
+	account *account
 	// unconfirmed is the input since progressAt that is too little to count as progress.
 	unconfirmed int64
 	progressAt  time.Time
-	evicted     bool
+	// received is true once the input is complete.
+	received bool
+	evicted  bool
+	// displaced is true if the request gave way although it made progress.
+	displaced bool
 }
 
 // NewClaim returns the claim of a connection, for one request after another. evict is called,
@@ -88,10 +103,45 @@
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c.progressAt, c.unconfirmed, c.evicted = b.clock.Now(), 0, false
+	c.progressAt, c.unconfirmed = b.clock.Now(), 0
+	c.received, c.evicted, c.displaced = false, false, false
 	b.incomplete[c] = struct{}{}
 }
 
+// Attribute records whose request it is until Release. When memory is short, requests of accounts
+// that hold more than an equal share, and whose input is incomplete, give way to those of other
+// accounts. Requests of no account, or of unknown ones, may share a name.
+func (c *Claim) Attribute(name string) {
+	if c == nil {
+		return
+	}
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.detach(c)
+	a := b.accounts[name]
+	if a == nil {
+		a = &account{name: name}
+		b.accounts[name] = a
+	}
+	c.account = a
+	a.claims++
+	a.held += c.held
+}
+
+// detach ends the attribution of a claim.
+func (b *Budget) detach(c *Claim) {
+	a := c.account
+	if a == nil {
+		return
+	}
+	c.account = nil
+	a.held -= c.held
+	if a.claims--; a.claims == 0 {
+		delete(b.accounts, a.name)
+	}
+}
+
 // Received records that n bytes of the input have arrived.
 func (c *Claim) Received(n int) {
 	if c == nil {
@@ -113,6 +163,7 @@
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
 	delete(c.budget.incomplete, c)
+	c.received = true
 	return !c.evicted
 }
 
@@ -155,8 +206,19 @@
 	return c.evicted
 }
 
+// Displaced reports whether the present request had to give way although it made progress, because
+// its account held more than its share.
+func (c *Claim) Displaced() bool {
+	if c == nil {
+		return false
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	return c.displaced
+}
+
 // Grow claims n more bytes. If there is no room, incomplete requests without progress give way,
-// the one without progress for longest first. Grow returns false, and claims nothing, if there
+// the one without progress for longest first, then those that Attribute names. Grow returns false, and claims nothing, if there
 // is still no room or this request had to give way itself.
 func (c *Claim) Grow(n int64) bool { return c.Replace(0, n) }
 
@@ -178,7 +240,7 @@
 			b.exempt = c
 			break
 		}
-		if !b.evictOne(c) {
+		if !b.evictOne(c) && !b.displaceOne(c, size, n) {
 			return false
 		}
 	}
@@ -205,6 +267,7 @@
 	defer c.budget.mu.Unlock()
 	delete(c.budget.incomplete, c)
 	c.budget.add(c, -c.held)
+	c.budget.detach(c)
 }
 
 // shareOf returns how much of the limit may be in use after a request holds the given bytes.
@@ -239,6 +302,9 @@
 	}
 	c.held += n
 	b.used += n
+	if c.account != nil {
+		c.account.held += n
+	}
 	if c.held > mediumBytes {
 		b.large += c.held
 	}
@@ -260,9 +326,43 @@
 	if victim == nil || b.clock.Now().Sub(victim.progressAt) < StallTime {
 		return false
 	}
+	b.evict(victim)
+	return true
+}
+
+// evict makes a request give way.
+func (b *Budget) evict(victim *Claim) {
 	victim.evicted = true
 	delete(b.incomplete, victim)
 	b.add(victim, -victim.held)
 	go victim.evict()
+}
+
+// displaceOne makes an incomplete request of the account that holds most give way to c, which is to
+// hold the given size after it grows by n bytes. It returns false if the account of c would then hold
+// more than an equal share of what requests of that size may use, or if no other account does.
+func (b *Budget) displaceOne(c *Claim, size, n int64) bool {
+	if c.account == nil {
+		return false
+	}
+	share := b.shareOf(size) / int64(len(b.accounts))
+	if c.account.held+n > share {
+		return false
+	}
+	var victim *Claim
+	for other := range b.incomplete {
+		if other.received || other.held == 0 || other.account == nil || other.account == c.account || other.account.held <= share {
+			continue
+		}
+		if victim == nil || other.account.held > victim.account.held ||
+			other.account == victim.account && other.progressAt.Before(victim.progressAt) {
+			victim = other
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	victim.displaced = true
+	b.evict(victim)
 	return true
 }
--- a/membudget/membudget_test.go
+++ b/membudget/membudget_test.go
@@ -113,6 +113,74 @@
 	}
 }
 
+// TestAccountsShareRoom checks that an account whose uploads hold all room, and go on, gives way to
+// one that holds less, as far as their shares are equal, and that accounts do not give way to
+// themselves.
+func TestAccountsShareRoom(t *testing.T) {
+	c := newCrowd(16 * megabyte)
+	upload := func(account string) *Claim {
+		claim := c.begin()
+		claim.Attribute(account)
+		if !claim.Grow(megabyte) {
+			claim.Release()
+			return nil
+		}
+		return claim
+	}
+	crowd := 0
+	for upload("crowd") != nil {
+		crowd++
+	}
+	if crowd != 12 {
+		t.Fatalf("%d uploads of the only account find room, want 12", crowd)
+	}
+	var other []*Claim
+	for claim := upload("other"); claim != nil; claim = upload("other") {
+		other = append(other, claim)
+	}
+	if len(other) != 6 {
+		t.Fatalf("%d uploads of the other account find room, want 6", len(other))
+	}
+	for range other {
+		if claim := <-c.evicted; !claim.Displaced() || !claim.Evicted() {
+			t.Error("an upload that went on is not reported as displaced")
+		}
+	}
+	if upload("crowd") != nil {
+		t.Error("an account gave way beyond its share")
+	}
+	other[0].Complete()
+	for range 2 {
+		if upload("third") == nil {
+			t.Error("no room for a third account")
+		}
+	}
+	for _, claim := range other {
+		claim.Release()
+	}
+	if upload("other") == nil {
+		t.Error("no room for an account after its requests have ended")
+	}
+}
+
+// TestResponsesAreNotDisplaced checks that a response which its caller reads does not give way to
+// requests of other accounts.
+func TestResponsesAreNotDisplaced(t *testing.T) {
+	c := newCrowd(megabyte)
+	response := c.begin()
+	response.Attribute("first")
+	response.Complete()
+	if !response.Grow(megabyte) {
+		t.Fatal("no room")
+	}
+	response.AwaitProgress()
+	other := c.begin()
+	other.Attribute("second")
+	if other.Grow(megabyte/4) || response.Evicted() {
+		t.Error("a response gave way to a request of another account")
+	}
+}
+
 // TestSmallRequestsFindRoom replays ordinary callers beside a crowd with large bodies.
 func TestSmallRequestsFindRoom(t *testing.T) {
 	c := newCrowd(16 * megabyte)
@@ -194,7 +262,7 @@
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			claim := rapid.SampledFrom(claims).Draw(t, "claim")
 			n := rapid.Int64Range(1, 2*megabyte).Draw(t, "bytes")
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 10).Draw(t, "step") {
 			case 0, 1:
 				claim.Grow(n)
 			case 2:
@@ -216,14 +284,25 @@
 				claim.AwaitProgress()
 			case 9:
 				claim.Abandon()
+			case 10:
+				claim.Attribute(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"))
 			}
 			var sum, largest int64
+			attributed := make(map[*account]int64)
 			for _, claim := range claims {
 				if claim.held < 0 || claim.evicted && claim.held != 0 {
 					t.Fatalf("a claim holds %d bytes, evicted %v", claim.held, claim.evicted)
 				}
 				sum += claim.held
 				largest = max(largest, claim.held)
+				if claim.account != nil {
+					attributed[claim.account] += claim.held
+				}
+			}
+			for account, held := range attributed {
+				if account.held != held {
+					t.Fatalf("an account holds %d bytes, its claims %d", account.held, held)
+				}
 			}
 			if usage := c.Usage(); usage.Used != sum || usage.Peak < sum || sum-largest > limit {
 				t.Fatalf("used %d, peak %d, sum %d, without the largest %d, limit %d", usage.Used, usage.Peak, sum, sum-largest, limit)
@@ -232,8 +311,8 @@
 		for _, claim := range claims {
 			claim.Release()
 		}
-		if usage := c.Usage(); usage.Used != 0 || c.large != 0 || len(c.incomplete) != 0 {
-			t.Fatalf("after all requests: used %d, large %d, incomplete %d", usage.Used, c.large, len(c.incomplete))
+		if usage := c.Usage(); usage.Used != 0 || c.large != 0 || len(c.incomplete) != 0 || len(c.accounts) != 0 {
+			t.Fatalf("after all requests: used %d, large %d, incomplete %d, accounts %d", usage.Used, c.large, len(c.incomplete), len(c.accounts))
 		}
 	})
 }
