Test which response gives way with distinct times

Cause: TestUnreadResponsesGiveWay failed once in three runs of 5,000 sequences. Two requests of the test had made no progress since the same instant, so either of them could give way first.

Change: the clock advances between them. The checks are the same.

--- a/membudget/membudget_test.go
+++ b/membudget/membudget_test.go
@@ -97,6 +97,7 @@
 	read.Complete()
 	unread.AwaitProgress()
 	abandoned.Abandon()
+	c.clock.Advance(time.Millisecond) // the next requests have made progress later
 	if !c.begin().Grow(megabyte) || !abandoned.Evicted() || unread.Evicted() {
 		t.Fatal("the abandoned request did not give way at once")
 	}
