Do not take the growth of an unread response for progress of its reader

Cause: each time the buffer of a response grew, its claim began anew to wait for the reader. One that grew without being read did not give way for a second more each time.

Change: the wait begins with the first buffer and after each read.

--- a/agent/response.go
+++ b/agent/response.go
@@ -16,7 +16,7 @@
 // waits for the reader. A response that is retained has no such limit.
 const maxUnreadBytes = 1 << 20
 
-// Errors and intervals of append.
+// errUnreadResponse means that a response gave way to others because nobody read it.
 var errUnreadResponse = errors.New("the response was not read while memory was short")
 
 const (
@@ -178,8 +178,9 @@
 			return false
 		}
 	}
+	first := r.allocated == 0
 	r.moveTo(make([]byte, len(r.data), size))
-	if r.readers == 0 {
+	if first && r.readers == 0 {
 		r.awaitReader()
 	}
 	return true
--- a/agent/response_memory_test.go
+++ b/agent/response_memory_test.go
@@ -21,7 +21,11 @@
 	discarded := make(chan struct{}, 1)
 	content := make([]byte, 600<<10)
 	unread := newResponse(false, manual, budget, func() { discarded <- struct{}{} })
-	if err := unread.append(endedContext(), content); err != nil {
+	if err := unread.append(endedContext(), content[:1]); err != nil {
+		t.Fatal(err)
+	}
+	manual.Advance(membudget.StallTime / 2)
+	if err := unread.append(endedContext(), content); err != nil { // that it grows is no progress of its reader
 		t.Fatal(err)
 	}
 	next := newResponse(false, manual, budget, func() { t.Error("the response that is read gave way") })
@@ -30,7 +34,7 @@
 	}
 	appended := make(chan error)
 	go func() { appended <- next.append(context.Background(), content) }()
-	manual.Advance(membudget.StallTime)
+	manual.Advance(membudget.StallTime / 2)
 	if err := <-appended; err != nil {
 		t.Fatal(err)
 	}
