Free acknowledged bytes without claiming memory

Cause: to free what a reader had acknowledged, the rest of a response was claimed once more beside its old buffer. While memory was short this could make another response give way, although memory was about to be given back.

Change: the claim shrinks to the rest, at most a quarter of the buffer, before it is copied.

--- a/agent/response.go
+++ b/agent/response.go
@@ -179,18 +179,19 @@
 		}
 	}
 	first := r.allocated == 0
-	r.moveTo(make([]byte, len(r.data), size))
+	r.memory.Shrink(r.allocated)
+	r.moveTo(size)
 	if first && r.readers == 0 {
 		r.awaitReader()
 	}
 	return true
 }
 
-// moveTo moves the bytes to a buffer whose memory is claimed. The caller holds mu.
-func (r *response) moveTo(buffer []byte) {
+// moveTo moves the bytes to a buffer of the given size, whose memory is claimed. The caller holds mu.
+func (r *response) moveTo(size int) {
+	buffer := make([]byte, len(r.data), size)
 	copy(buffer, r.data)
-	r.memory.Shrink(r.allocated)
-	r.data, r.allocated = buffer, int64(cap(buffer))
+	r.data, r.allocated = buffer, int64(size)
 }
 
 // awaitReader lets the response give way until it is read, unless it is retained. The caller holds
@@ -309,8 +310,9 @@
 	r.baseOffset = offset
 	if len(r.data) == 0 {
 		r.free()
-	} else if rest := len(r.data); int64(rest) <= r.allocated/4 && r.memory.Replace(r.allocated, int64(rest)) {
-		r.moveTo(make([]byte, rest))
+	} else if rest := len(r.data); int64(rest) <= r.allocated/4 {
+		r.memory.Shrink(r.allocated - int64(rest))
+		r.moveTo(rest)
 	}
 	if full {
 		r.notify()
