Break off a response that gives way before its first write

Cause: a request that had to give way after its response was ready, and before the first write, got only a read deadline. Its response was written although its memory was not counted any more.

Change: the exchange remembers that it gave way in any phase, and the next write fails. Comments of membudget name the accounts.

--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -56,7 +56,7 @@
 type exchange struct {
 	conn net.Conn
 	mu   sync.Mutex
-	// responding is true while the response is written, ended afterwards.
+	// responding is true from the first write of the response on, ended after the last.
 	responding, ended bool
 	gaveWay           bool
 }
@@ -68,14 +68,15 @@
 func (x *exchange) giveWay() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	switch {
-	case x.ended:
-	case x.responding:
-		x.gaveWay = true
-		_ = x.conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
-	default:
-		_ = x.conn.SetReadDeadline(time.Unix(1, 0)) // as above
+	if x.ended {
+		return
 	}
+	x.gaveWay = true
+	setDeadline := x.conn.SetReadDeadline
+	if x.responding {
+		setDeadline = x.conn.SetWriteDeadline
+	}
+	_ = setDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
 // allowWrite gives the next write of the response callerWriteTimeout.
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -4,6 +4,7 @@
 // and most of them stop just before the end and stay connected. What they hold together stays
 // below the limit of a Budget. Requests whose input has stopped give way first; the last part of
 // the limit is kept for small requests, so that ordinary callers are served beside such a crowd.
+// Accounts share the rest: what one of them sends does not keep out the large requests of another.
 //
 // Callers may assume that the sum of all claims exceeds the limit only by one claim, which was the
 // only large one when it grew: a single request is served whatever its size.
@@ -91,8 +92,9 @@
 }
 
 // NewClaim returns the claim of a connection, for one request after another. evict is called,
-// from another goroutine, when the present request must give way: its input has stopped while
-// another request needs memory. It must not call methods of the claim.
+// from another goroutine, when the present request must give way: its caller has stopped, or its
+// account holds more than its share, while another request needs memory. When evict is called, the
+// claim holds nothing any more.
 func (b *Budget) NewClaim(evict func()) *Claim { return &Claim{budget: b, evict: evict} }
 
 // Begin begins a request. It may give way until Complete is called.
@@ -217,9 +219,10 @@
 	return c.displaced
 }
 
-// Grow claims n more bytes. If there is no room, incomplete requests without progress give way,
-// the one without progress for longest first, then those that Attribute names. Grow returns false, and claims nothing, if there
-// is still no room or this request had to give way itself.
+// Grow claims n more bytes. If there is no room, requests without progress that wait for their
+// caller give way, the one without progress for longest first, then those of accounts that hold
+// more than their share (see Attribute). Grow returns false, and claims nothing, if there is still
+// no room or this request had to give way itself.
 func (c *Claim) Grow(n int64) bool { return c.Replace(0, n) }
 
 // Replace claims n more bytes, as Grow does, for a buffer that replaces one of old bytes. The old
