--- a/provider/httpprovider/malformed_test.go
+++ b/provider/httpprovider/malformed_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/sesameswitch/sesameswitch/internal/tcptest"
 	"github.com/sesameswitch/sesameswitch/provider"
 	"github.com/sesameswitch/sesameswitch/provider/httpprovider"
 )
@@ -90,34 +91,19 @@
 // serveHeads runs a server that sends what respond returns to each request.
 func serveHeads(t *testing.T, respond func() string) (url string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
+	return "http://" + tcptest.Serve(t, func(c *net.TCPConn) {
+		br := bufio.NewReader(c)
 		for {
-			c, err := l.Accept()
+			request, err := http.ReadRequest(br)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				br := bufio.NewReader(c)
-				for {
-					request, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					text := respond()
-					_, _ = io.WriteString(c, text) // the client fails if it is lost
-					if strings.Contains(text, "Connection: close") || strings.Contains(text, "\r\n Content") {
-						return
-					}
-				}
-			}()
+			_, _ = io.Copy(io.Discard, request.Body)
+			text := respond()
+			_, _ = io.WriteString(c, text) // the client fails if it is lost
+			if strings.Contains(text, "Connection: close") || strings.Contains(text, "\r\n Content") {
+				return
+			}
 		}
-	}()
-	return "http://" + l.Addr().String()
+	})
 }
--- a/upstream/earlyresponse_test.go
+++ b/upstream/earlyresponse_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/sesameswitch/sesameswitch/internal/tcptest"
 )
 
 // TestRequestBodyIsSentAfterEarlyResponse checks that the rest of a request body is sent to a
@@ -15,18 +17,8 @@
 // context of the exchange ends.
 func TestRequestBodyIsSentAfterEarlyResponse(t *testing.T) {
 	const bodyBytes = 16 << 20 // more than the socket buffers hold
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
 	released, received := make(chan struct{}), make(chan int64, 1)
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
+	address := tcptest.Serve(t, func(c *net.TCPConn) {
 		request, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
@@ -35,11 +27,11 @@
 		<-released
 		n, _ := io.Copy(io.Discard, request.Body)
 		received <- n
-	}()
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	ex, err := New(Config{}).Do(ctx, &Request{
-		Address: l.Addr().String(), Method: http.MethodPost,
+		Address: address, Method: http.MethodPost,
 		Head: []byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 16777216\r\n\r\n"), Body: make([]byte, bodyBytes),
 	})
 	if err != nil {
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -9,32 +9,19 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/sesameswitch/sesameswitch/internal/tcptest"
 )
 
 // startServer runs a server that sends the content as the response to each request and then
 // closes the connection.
 func startServer(t *testing.T, content string) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, content) // the client fails if it is lost
-				}
-			}()
+	return tcptest.Serve(t, func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, content) // the client fails if it is lost
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // TestMalformedResponseLooksComplete guards against responses that are no HTTP and that the
@@ -83,27 +70,17 @@
 // TestIdleConnectionKeepsNoGrownBuffer checks that a long head does not take memory longer than its
 // exchange.
 func TestIdleConnectionKeepsNoGrownBuffer(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
+	address := tcptest.Serve(t, func(c *net.TCPConn) {
 		for br := bufio.NewReader(c); ; {
 			if _, err := http.ReadRequest(br); err != nil {
 				return
 			}
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+strings.Repeat("X-A: b\r\n", 5000)+"\r\nok")
 		}
-	}()
+	})
 	pool := New(Config{})
 	for range 3 {
-		ex, err := pool.Do(context.Background(), &Request{Address: l.Addr().String(), Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")})
+		ex, err := pool.Do(context.Background(), &Request{Address: address, Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -111,7 +88,7 @@
 			t.Fatalf("got body %q, error %v", body, err)
 		}
 		ex.Release()
-		if n := pool.OpenConnections(l.Addr().String()); n != 1 || ex.conn.br.Size() != readBufferBytes {
+		if n := pool.OpenConnections(address); n != 1 || ex.conn.br.Size() != readBufferBytes {
 			t.Errorf("%d open connections, buffer of %d bytes, want 1 and %d", n, ex.conn.br.Size(), readBufferBytes)
 		}
 	}
--- a/upstream/surplus_test.go
+++ b/upstream/surplus_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"github.com/sesameswitch/sesameswitch/internal/tcptest"
 )
 
 // respondLater runs a server that writes further responses only when the next
@@ -16,32 +18,17 @@
 // connection. late returns what it writes before its response to request n.
 func respondLater(t *testing.T, late func(n int) string) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
+	return tcptest.Serve(t, func(c *net.TCPConn) {
+		br := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			request, err := http.ReadRequest(br)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				br := bufio.NewReader(c)
-				for n := 0; ; n++ {
-					request, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					id := request.Header.Get("Id")
-					_, _ = io.WriteString(c, late(n)+response(id, "own of "+id)) // the client may have closed the connection
-				}
-			}()
+			id := request.Header.Get("Id")
+			_, _ = io.WriteString(c, late(n)+response(id, "own of "+id)) // the client may have closed the connection
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 func response(id, body string) string {
--- a/upstream/unframed_test.go
+++ b/upstream/unframed_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/sesameswitch/sesameswitch/internal/tcptest"
 )
 
 // respondEarly runs a server that answers each request before it reads the body: it sends a
@@ -17,29 +19,14 @@
 // read all of body.
 func respondEarly(t *testing.T, body string, read <-chan struct{}, end func(c *net.TCPConn)) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return // opened to see whether the server refuses connections
-				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+body) // the client fails if it is lost
-				<-read
-				end(c.(*net.TCPConn))
-			}()
+	return tcptest.Serve(t, func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return // opened to see whether the server refuses connections
 		}
-	}()
-	return l.Addr().String()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+body) // the client fails if it is lost
+		<-read
+		end(c)
+	})
 }
 
 // TestUnframedResponseBrokenWhileRequestBodyIsSentLooksComplete guards against a response that
