Tests of ingress wait until a body has been read

Cause: TestStoppedBodyGivesWay failed once in four runs beside other packages. It went on when the budget held at least the length of the body. That also holds while a buffer is copied to a larger one, before the rest of the body was read: the body had not stopped, and for an instant both buffers left no room for a small request.

Change: the sender stops where a buffer is full, and the test waits until the budget holds exactly the length, so that nothing arrives later. The checks are the same; so in TestAccountsShareMemory.

--- a/ingress/memory_test.go
+++ b/ingress/memory_test.go
@@ -47,7 +47,8 @@
 	return m
 }
 
-// send begins a request with a body of the length, of which it sends the given part.
+// send begins a request with a body of the length, of which it sends the given part. If the part
+// fills a buffer, the budget holds exactly the length once the server has read all of the part.
 func (m *memoryServer) send(length, part int) net.Conn {
 	m.t.Helper()
 	return m.sendAs("", length, part)
@@ -92,8 +93,8 @@
 func TestStoppedBodyGivesWay(t *testing.T) {
 	const large = 700 << 10
 	m := newMemoryServer(t)
-	stopped := m.send(large, large-1)
-	m.awaitUsed(func(used int64) bool { return used >= large })
+	stopped := m.send(large, 512<<10)
+	m.awaitUsed(func(used int64) bool { return used == large })
 	if got, body := status(t, m.send(large, large)); got != http.StatusServiceUnavailable {
 		t.Errorf("got %d %q beside the other request, want 503", got, body)
 	}
@@ -117,7 +118,7 @@
 	m := newMemoryServer(t)
 	var crowd []net.Conn
 	for n := int64(1); n <= 3; n++ {
-		crowd = append(crowd, m.sendAs("crowd", large, large-1))
+		crowd = append(crowd, m.sendAs("crowd", large, 128<<10))
 		m.awaitUsed(func(used int64) bool { return used == n*large })
 		m.clock.Advance(time.Millisecond)
 	}
